--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Commands of the repository. `make setup` then `make test` suffice on a fresh
+# machine that has Go.
+MODULES := core settings peer node cmd standin bench
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+GOBIN := $(shell go env GOPATH)/bin
+LINT_VERSION := v2.12.0
+
+.PHONY: setup build test fmt lint unit fuzz demo bench generate
+
+setup: ## download modules and the linter
+	go list -deps -test $(PACKAGES) >/dev/null
+	test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+build: ## build the programs into bin/
+	go build -o bin/ ./cmd/... ./standin/... ./bench/...
+
+fmt:
+	@out=$$(gofmt -l $(MODULES)); test -z "$$out" || { echo "gofmt would change:"; echo "$$out"; exit 1; }
+
+lint:
+	$(GOBIN)/golangci-lint run $(PACKAGES)
+
+unit:
+	go test -timeout 15m $(PACKAGES)
+
+test: setup fmt lint unit ## everything that CI runs
+
+demo: build ## the main job on real processes over loopback
+	./bin/toucangwctl demo
+
+bench: build ## all measurements; writes bench.json
+	./bin/bench -o bench.json
+
+generate: ## protocol code (needs protoc, protoc-gen-go, protoc-gen-go-grpc)
+	cd peer && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/bench/bench.go
@@ -0,0 +1,2 @@
+// Package bench measures the decisions with small fakes and a fake clock.
+package bench
--- /dev/null
+++ b/cmd/toucangwctl/main.go
@@ -0,0 +1,4 @@
+// Command toucangwctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/toucangwd/main.go
@@ -0,0 +1,4 @@
+// Command toucangwd is the node process.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/spread/spread.go
@@ -0,0 +1,2 @@
+// Package spread decides how published values reach all nodes.
+package spread
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,2 @@
+// Package node is the runtime of toucangwd.
+package node
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,2 @@
+// Package settings reads node settings, base files and overlays.
+package settings
