--- a/core/once/once.go
+++ b/core/once/once.go
@@ -60,6 +60,9 @@
 	Finish(now time.Time, key string, answer *call.Answer)
 	// Break records a run whose outcome is unknown.
 	Break(now time.Time, key string)
+	// Reject records that the run was proven not to have happened, and fences
+	// the key.
+	Reject(now time.Time, key string)
 	// Fence makes sure that a key never runs, if it has not begun, and returns
 	// the state after. Fenced means that "not run" holds for good.
 	Fence(now time.Time, key string) State
@@ -71,8 +74,8 @@
 	Len() (keys int, bytes int64)
 }
 
-// Owner reads the owner host and incarnation from a key without checking
-// its authenticity. Implemented by ParseOwner.
+// Owner is the process that a key binds its request to. ParseOwner reads it
+// from a key without checking its authenticity, which only the owner can.
 type Owner struct {
 	Host        member.HostID
 	Incarnation uint64
