--- /dev/null
+++ b/settings/key.go
@@ -0,0 +1,153 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Type is the type of a setting.
+type Type string
+
+// Types of settings.
+const (
+	TypeName     Type = "name"
+	TypeText     Type = "text"
+	TypePath     Type = "path"
+	TypeInteger  Type = "integer"
+	TypeNumber   Type = "number"
+	TypeBool     Type = "boolean"
+	TypeDuration Type = "duration"
+	TypeSize     Type = "size"
+	TypeChoice   Type = "choice"
+	TypeAddress  Type = "address"
+	TypeAddrs    Type = "addresses"
+)
+
+// Size is a number of bytes.
+type Size int64
+
+// Key describes one setting. It is the source of the checks, of the reference
+// page and of help texts.
+type Key struct {
+	Name     string
+	Type     Type
+	Required bool
+	// Default has the Go type of the setting: string, int, float64, bool,
+	// time.Duration, Size or netip.AddrPort. It is nil if there is none.
+	Default any
+	// DefaultNote describes a default that depends on other settings.
+	DefaultNote string
+	// Min and Max bound numbers, durations in nanoseconds and sizes in bytes.
+	Min, Max float64
+	// AboveMin excludes Min itself.
+	AboveMin bool
+	Choices  []string
+	// Overlay is set for keys that an overlay may adjust.
+	Overlay bool
+	Help    string
+}
+
+// Table describes a table of a file. Repeated tables hold named entries and
+// are written [[name]].
+type Table struct {
+	Name     string
+	Repeated bool
+	// MaxEntries bounds the entries of a repeated table.
+	MaxEntries int
+	Help       string
+	Keys       []Key
+}
+
+// BaseTables returns the tables of the base file, in the order of the
+// reference page. Keys with Overlay set may appear in overlays, too.
+func BaseTables() []Table { return append([]Table(nil), baseTables...) }
+
+// NodeTables returns the tables of the node settings.
+func NodeTables() []Table { return append([]Table(nil), nodeTables...) }
+
+// Heading returns the table as written in a file.
+func (t Table) Heading() string {
+	if t.Repeated {
+		return "[[" + t.Name + "]]"
+	}
+	return "[" + t.Name + "]"
+}
+
+// DefaultText returns the default as written in a file, a note, or "" if the
+// key has none.
+func (k Key) DefaultText() string {
+	if k.DefaultNote != "" {
+		return k.DefaultNote
+	}
+	if k.Default == nil {
+		return ""
+	}
+	return valueText(k.Default)
+}
+
+// RangeText returns the permitted values, or "" if any are.
+func (k Key) RangeText() string {
+	switch k.Type {
+	case TypeChoice:
+		return strings.Join(k.Choices, ", ")
+	case TypeInteger, TypeNumber, TypeDuration, TypeSize:
+		if k.AboveMin {
+			return fmt.Sprintf("above %s, at most %s", k.bound(k.Min), k.bound(k.Max))
+		}
+		return fmt.Sprintf("%s to %s", k.bound(k.Min), k.bound(k.Max))
+	}
+	return ""
+}
+
+func (k Key) bound(b float64) string {
+	switch k.Type {
+	case TypeDuration:
+		return durationText(time.Duration(b))
+	case TypeSize:
+		return sizeText(Size(b))
+	}
+	return strconv.FormatFloat(b, 'f', -1, 64)
+}
+
+func valueText(v any) string {
+	switch v := v.(type) {
+	case time.Duration:
+		return strconv.Quote(durationText(v))
+	case Size:
+		return strconv.Quote(sizeText(v))
+	case string:
+		return strconv.Quote(v)
+	case netip.AddrPort:
+		return strconv.Quote(v.String())
+	}
+	return fmt.Sprint(v)
+}
+
+// durationText leaves out zero parts that time.Duration prints ("10m0s").
+func durationText(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+var sizeUnits = []struct {
+	name  string
+	bytes Size
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+func sizeText(s Size) string {
+	for _, unit := range sizeUnits {
+		if s >= unit.bytes && s%unit.bytes == 0 {
+			return fmt.Sprintf("%d%s", s/unit.bytes, unit.name)
+		}
+	}
+	return "0B"
+}
--- /dev/null
+++ b/settings/locate.go
@@ -0,0 +1,263 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Bounds on nesting. The TOML parser recurses per nested value and takes
+// quadratic time in the parts of a dotted key, so a hostile file of 1 MiB
+// could exhaust the stack or run for minutes.
+const (
+	maxNesting  = 16
+	maxKeyParts = 16
+)
+
+// lineIndex maps a key path to its line. The TOML library keeps the positions
+// of keys to itself, and one per path only, which does not tell the entries of
+// an array of tables apart.
+type lineIndex map[string]int
+
+// find returns the line of the longest known prefix of a path.
+func (x lineIndex) find(path ...string) int {
+	for n := len(path); n > 0; n-- {
+		if line, ok := x[joinPath(path[:n])]; ok {
+			return line
+		}
+	}
+	return 0
+}
+
+func joinPath(parts []string) string { return strings.Join(parts, "\x00") }
+
+// element names one entry of an array of tables within a path.
+func element(table string, i int) string { return table + "\x01" + strconv.Itoa(i) }
+
+// scanner finds the statements of a TOML text. It relies on the parser for
+// errors: for text that is not TOML it only has to end.
+type scanner struct {
+	data   string
+	pos    int
+	line   int
+	prefix []string
+	counts map[string]int
+	index  lineIndex
+	deep   int // line of a value or key nested too deeply; 0 if none
+}
+
+// indexLines returns the lines of all keys, and the line of the first value or
+// key that is nested too deeply, or 0.
+func indexLines(data string) (lineIndex, int) {
+	s := &scanner{data: data, line: 1, counts: map[string]int{}, index: lineIndex{}}
+	for s.skipBlank() && s.deep == 0 {
+		s.statement()
+	}
+	return s.index, s.deep
+}
+
+func (s *scanner) more() bool { return s.pos < len(s.data) }
+
+func (s *scanner) has(prefix string) bool { return strings.HasPrefix(s.data[s.pos:], prefix) }
+
+func (s *scanner) advance(n int) {
+	end := min(s.pos+n, len(s.data))
+	s.line += strings.Count(s.data[s.pos:end], "\n")
+	s.pos = end
+}
+
+// skipBlank moves to the next statement and reports whether there is one.
+func (s *scanner) skipBlank() bool {
+	for s.more() {
+		switch s.data[s.pos] {
+		case ' ', '\t', '\r', '\n':
+			s.advance(1)
+		case '#':
+			s.skipLine()
+		default:
+			return true
+		}
+	}
+	return false
+}
+
+func (s *scanner) skipLine() {
+	n := strings.IndexByte(s.data[s.pos:], '\n')
+	if n < 0 {
+		n = len(s.data) - s.pos
+	}
+	s.advance(n)
+}
+
+func (s *scanner) statement() {
+	line := s.line
+	switch {
+	case s.has("[["):
+		s.advance(2)
+		s.arrayHeader(s.key(), line)
+		s.skipLine()
+	case s.has("["):
+		s.advance(1)
+		s.prefix = s.resolve(s.key())
+		s.record(s.prefix, line)
+		s.skipLine()
+	default:
+		parts := s.key()
+		s.record(append(s.prefix[:len(s.prefix):len(s.prefix)], parts...), line)
+		s.skipValue()
+	}
+}
+
+func (s *scanner) arrayHeader(parts []string, line int) {
+	if len(parts) == 0 {
+		return
+	}
+	path := s.resolve(parts)
+	whole := joinPath(path)
+	i := s.counts[whole]
+	s.counts[whole]++
+	path[len(path)-1] = element(parts[len(parts)-1], i)
+	s.prefix = path
+	s.record(path, line)
+}
+
+// resolve replaces the name of an array of tables by its latest element.
+func (s *scanner) resolve(parts []string) []string {
+	path := make([]string, 0, len(parts))
+	for i, part := range parts {
+		path = append(path, part)
+		count := s.counts[joinPath(path)]
+		if i < len(parts)-1 && count > 0 {
+			path[i] = element(part, count-1)
+		}
+	}
+	return path
+}
+
+// record keeps the first line of a path and of its parents.
+func (s *scanner) record(path []string, line int) {
+	for n := len(path); n > 0; n-- {
+		joined := joinPath(path[:n])
+		if _, known := s.index[joined]; known {
+			return
+		}
+		s.index[joined] = line
+	}
+}
+
+// key reads the parts of a dotted key up to the character that ends it.
+func (s *scanner) key() []string {
+	var parts []string
+	for s.more() {
+		switch c := s.data[s.pos]; c {
+		case ' ', '\t', '.':
+			s.advance(1)
+		case '=', ']', '\n', '\r', '#', '[', '{', '}', ',':
+			return parts
+		case '"', '\'':
+			parts = append(parts, s.quotedPart(c))
+		default:
+			n := strings.IndexAny(s.data[s.pos:], " \t.=]\n\r#[{},\"'")
+			if n < 0 {
+				n = len(s.data) - s.pos
+			}
+			parts = append(parts, s.data[s.pos:s.pos+n])
+			s.advance(n)
+		}
+		if len(parts) > maxKeyParts {
+			s.deep = s.line
+			return parts
+		}
+	}
+	return parts
+}
+
+func (s *scanner) quotedPart(quote byte) string {
+	start := s.pos
+	s.skipString(quote)
+	text := s.data[start:s.pos]
+	if quote == '\'' {
+		return strings.Trim(text, "'")
+	}
+	if plain, err := strconv.Unquote(text); err == nil {
+		return plain
+	}
+	return text
+}
+
+// skipValue moves past a value to the end of its last line. Within arrays and
+// inline tables it bounds the nesting and the parts of dotted keys.
+func (s *scanner) skipValue() {
+	depth, dots := 0, 0
+	for s.more() {
+		switch c := s.data[s.pos]; c {
+		case '"', '\'':
+			s.skipString(c)
+			continue
+		case '#':
+			s.skipLine()
+			continue
+		case '\n':
+			if depth <= 0 {
+				return
+			}
+		case '[', '{':
+			depth++
+			dots = 0
+		case ']', '}':
+			depth--
+		case '=', ',':
+			dots = 0
+		case '.':
+			dots++
+		}
+		if depth > maxNesting || dots >= maxKeyParts {
+			s.deep = s.line
+			return
+		}
+		s.advance(1)
+	}
+}
+
+// skipString moves past a string of any of the four forms.
+func (s *scanner) skipString(quote byte) {
+	long := strings.Repeat(string(quote), 3)
+	if s.has(long) {
+		s.advance(3)
+		s.skipLongString(quote, long)
+		return
+	}
+	s.advance(1)
+	for s.more() {
+		switch c := s.data[s.pos]; {
+		case c == '\n':
+			return
+		case c == '\\' && quote == '"':
+			s.advance(2)
+		case c == quote:
+			s.advance(1)
+			return
+		default:
+			s.advance(1)
+		}
+	}
+}
+
+func (s *scanner) skipLongString(quote byte, long string) {
+	for s.more() {
+		switch {
+		case s.data[s.pos] == '\\' && quote == '"':
+			s.advance(2)
+		case s.has(long):
+			s.advance(3)
+			// Up to two quotes may stand directly before the closing three.
+			for range 2 {
+				if s.more() && s.data[s.pos] == quote {
+					s.advance(1)
+				}
+			}
+			return
+		default:
+			s.advance(1)
+		}
+	}
+}
--- /dev/null
+++ b/settings/problem.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Problem is one finding in a file. Line is 0 if the problem concerns the
+// whole file, and then Key may be empty.
+type Problem struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key"`
+	Rule    string `json:"rule"`
+	Message string `json:"message"`
+}
+
+// String returns the one-line form `file:line: key: message [rule]`.
+func (p Problem) String() string {
+	if p.Key == "" {
+		return fmt.Sprintf("%s:%d: %s [%s]", p.File, p.Line, p.Message, p.Rule)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s [%s]", p.File, p.Line, p.Key, p.Message, p.Rule)
+}
+
+// Problems are findings sorted by file, line, key and rule.
+type Problems []Problem
+
+// Error implements error with one line per problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// MaxProblems bounds the length of a report.
+const MaxProblems = 1000
+
+// collector gathers problems. It keeps one more than MaxProblems, to tell
+// whether some were left out.
+type collector struct {
+	problems Problems
+	seen     map[Problem]bool
+}
+
+// add keeps a problem once: the check of a merged overlay finds the problems
+// of the base again.
+func (c *collector) add(p Problem) {
+	if c.seen[p] || len(c.problems) > MaxProblems {
+		return
+	}
+	if c.seen == nil {
+		c.seen = make(map[Problem]bool)
+	}
+	c.seen[p] = true
+	c.problems = append(c.problems, p)
+}
+
+func (c *collector) result() Problems {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	problems := c.problems
+	if len(problems) > MaxProblems {
+		last := problems[MaxProblems]
+		last.Rule = RuleTooMany
+		last.Message = fmt.Sprintf("more than %d problems; the rest is not shown", MaxProblems)
+		problems[MaxProblems] = last
+	}
+	slices.SortStableFunc(problems, compareProblems)
+	return problems
+}
+
+func compareProblems(a, b Problem) int {
+	return cmp.Or(
+		cmp.Compare(a.File, b.File),
+		cmp.Compare(a.Line, b.Line),
+		cmp.Compare(a.Key, b.Key),
+		cmp.Compare(a.Rule, b.Rule),
+		cmp.Compare(a.Message, b.Message),
+	)
+}
+
+// maxQuoted bounds file content that is repeated in a message.
+const maxQuoted = 60
+
+// quoted formats a message whose single argument is text from a file.
+func quoted(format, text string) string {
+	if len(text) > maxQuoted {
+		text = strings.ToValidUTF8(text[:maxQuoted], "") + "..."
+	}
+	return fmt.Sprintf(format, fmt.Sprintf("%q", text))
+}
