core/once: add the key ledger

Cause: once-only actions need an owner that recognises every key it issued. Change: once.New returns the ledger. Issued keys take no memory. At a full table a refusal fences the key's group by sequence number, which makes "not run" permanent without memory.

--- /dev/null
+++ b/core/once/cap_test.go
@@ -0,0 +1,173 @@
+package once
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucangw.example/core/verdict"
+)
+
+// Guards against memory that callers can take by asking for keys only.
+func TestIssuedKeyTakesNoMemory(t *testing.T) {
+	l := newLedger(t, testConfig())
+	for range 1000 {
+		issue(t, l, testStart)
+	}
+	keys, _ := l.Len()
+	assert.Zero(t, keys)
+}
+
+// Guards against eviction at the cap, and against a key that was refused for
+// a full table and runs later when there is room.
+func TestFullTable(t *testing.T) {
+	l := newLedger(t, testConfig())
+	held := make([]string, 4)
+	for i := range held {
+		held[i] = issue(t, l, at(time.Duration(i)*time.Second))
+	}
+	refused, fenced := issue(t, l, at(4*time.Second)), issue(t, l, at(4*time.Second))
+	for _, key := range held {
+		require.Equal(t, Start, l.Submit(at(5*time.Second), key, request()).Step)
+	}
+
+	now := at(6 * time.Second)
+	_, refusal := l.Issue(now, testService, testCaller)
+	require.NotNil(t, refusal)
+	assert.Equal(t, verdict.KeyTableFull, refusal.Reason)
+	assert.Equal(t, verdict.NotRun, refusal.Verdict)
+	assert.Equal(t, testLifetime-6*time.Second, refusal.RetryAfter)
+	requireRefused(t, l.Submit(now, refused, request()), verdict.NotRun, verdict.KeyTableFull)
+	assert.Equal(t, Fenced, l.Fence(now, fenced))
+	for _, key := range held {
+		assert.Equal(t, Join, l.Submit(now, key, request()).Step)
+		assert.Equal(t, Fenced, l.Fence(now, key))
+	}
+
+	l.Tick(at(testLifetime + time.Second))
+	now = at(testLifetime + 2*time.Second)
+	keys, _ := l.Len()
+	require.Equal(t, 2, keys)
+	for _, key := range []string{refused, fenced} {
+		requireRefused(t, l.Submit(now, key, request()), verdict.NotRun, verdict.KeyFenced)
+		state, _ := l.Query(now, key, testCaller)
+		assert.Equal(t, Fenced, state)
+	}
+	start(t, l, now, issue(t, l, now))
+}
+
+// Guards against answers that exceed the memory bound, and against a wrong
+// verdict for an action that ran but whose answer is not kept.
+func TestAnswerTooLargeToKeep(t *testing.T) {
+	l := newLedger(t, testConfig())
+	huge, first, second := issue(t, l, testStart), issue(t, l, testStart), issue(t, l, testStart)
+	next := issue(t, l, testStart)
+	for _, key := range []string{huge, first, second} {
+		start(t, l, testStart, key)
+	}
+	l.Finish(testStart, huge, answer(101))
+	requireRefused(t, l.Submit(testStart, huge, request()), verdict.Run, verdict.NotWhole)
+	state, kept := l.Query(testStart, huge, testCaller)
+	assert.Equal(t, Done, state)
+	assert.Nil(t, kept)
+	issue(t, l, testStart) // one huge answer does not close the table
+
+	l.Finish(testStart, first, answer(60))
+	l.Finish(testStart, second, answer(60))
+	_, size := l.Len()
+	assert.EqualValues(t, 60, size)
+	requireRefused(t, l.Submit(testStart, second, request()), verdict.Run, verdict.NotWhole)
+	requireRefused(t, l.Submit(testStart, next, request()), verdict.NotRun, verdict.KeyTableFull)
+
+	l.Tick(at(testLifetime))
+	_, refusal := l.Issue(at(testLifetime), testService, testCaller)
+	assert.Nil(t, refusal, "memory was freed")
+}
+
+// history is what has been observed of one key.
+type history struct {
+	key      string
+	runs     int
+	notRun   bool // somebody was told that it did not run
+	mayStart bool
+}
+
+// Guards the once-only and "not run" promises under any order of calls, with
+// small limits and time that may go back.
+func TestLedgerPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := testConfig()
+		cfg.MaxKeys = rapid.IntRange(1, 5).Draw(t, "max keys")
+		l, err := New(cfg)
+		require.NoError(t, err)
+		var keys []*history
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(-60, 120).Draw(t, "seconds")) * time.Second
+			now = max(now, 0)
+			if len(keys) == 0 || rapid.IntRange(0, 3).Draw(t, "new key") == 0 {
+				if key, refusal := l.Issue(at(now), testService, testCaller); refusal == nil {
+					keys = append(keys, &history{key: key})
+				}
+				continue
+			}
+			h := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "key")]
+			ledgerStep(t, l, at(now), h, rapid.IntRange(0, 6).Draw(t, "operation"))
+			for i, h := range keys {
+				require.LessOrEqual(t, h.runs, 1, "key %d ran twice", i)
+				require.False(t, h.notRun && h.runs > 0, "key %d ran but was reported as not run", i)
+			}
+			held, size := l.Len()
+			require.LessOrEqual(t, held, cfg.MaxKeys)
+			require.LessOrEqual(t, size, cfg.MaxAnswerBytes)
+		}
+	})
+}
+
+func ledgerStep(t *rapid.T, l Ledger, now time.Time, h *history, operation int) {
+	switch operation {
+	case 0:
+		req := request()
+		req.Digest = rapid.Uint64Range(5, 6).Draw(t, "digest")
+		s := l.Submit(now, h.key, req)
+		h.mayStart = h.mayStart || s.Step == Start
+		h.notRun = h.notRun || s.Step == Refuse && s.Refusal.Verdict == verdict.NotRun
+	case 1:
+		if l.Begin(now, h.key) {
+			require.True(t, h.mayStart, "began without a submission")
+			h.runs++
+		}
+	case 2:
+		l.Finish(now, h.key, answer(rapid.IntRange(0, 120).Draw(t, "size")))
+	case 3:
+		l.Break(now, h.key)
+	case 4:
+		h.notRun = l.Fence(now, h.key) == Fenced || h.notRun
+	case 5:
+		state, _ := l.Query(now, h.key, testCaller)
+		h.notRun = state == Fenced || h.notRun
+	default:
+		l.Tick(now)
+	}
+}
+
+func BenchmarkSubmit(b *testing.B) {
+	cfg := testConfig()
+	cfg.MaxKeys = b.N + 1
+	l, err := New(cfg)
+	require.NoError(b, err)
+	req := request()
+	for i := range b.N {
+		now := at(time.Duration(i))
+		key, refusal := l.Issue(now, testService, testCaller)
+		if refusal != nil {
+			b.Fatal(fmt.Sprint(refusal))
+		}
+		l.Submit(now, key, req)
+		l.Begin(now, key)
+	}
+}
