--- /dev/null
+++ b/core/baseline/route.go
@@ -0,0 +1,51 @@
+// Package baseline holds simple rules to compare the decision packages with.
+package baseline
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"toucangw.example/core/call"
+	"toucangw.example/core/member"
+	"toucangw.example/core/policy"
+	"toucangw.example/core/route"
+)
+
+// RoundRobin is the reason for its choices in the decision log.
+const RoundRobin = "round-robin"
+
+type roundRobin struct {
+	hosts map[string][]member.Host
+	next  map[string]int
+}
+
+// NewRoundRobin is a route.Builder. The router takes all hosts of a service
+// in turn, whatever their zone, load or failures.
+func NewRoundRobin(route.Locality, func(n int) int) route.Router {
+	return &roundRobin{hosts: map[string][]member.Host{}, next: map[string]int{}}
+}
+
+func (r *roundRobin) SetHosts(_ time.Time, service string, hosts []member.Host) {
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(a, b member.Host) int { return cmp.Compare(a.ID, b.ID) })
+	r.hosts[service] = sorted
+}
+
+func (r *roundRobin) Pick(_ time.Time, req *call.Request, exclude []member.HostID) (route.Choice, bool) {
+	hosts := r.hosts[req.Service]
+	for range hosts {
+		h := hosts[r.next[req.Service]%len(hosts)]
+		r.next[req.Service]++
+		if !slices.Contains(exclude, h.ID) {
+			return route.Choice{Host: h, Reason: RoundRobin}, true
+		}
+	}
+	return route.Choice{}, false
+}
+
+func (*roundRobin) SetPolicy(time.Time, *policy.Policy)          {}
+func (*roundRobin) Sent(time.Time, member.HostID)                {}
+func (*roundRobin) Done(time.Time, member.HostID, route.Outcome) {}
+func (*roundRobin) Probe(time.Time, member.HostID, bool)         {}
+func (*roundRobin) Forget(time.Time)                             {}
--- /dev/null
+++ b/core/route/router_test.go
@@ -0,0 +1,318 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"toucangw.example/core/call"
+	"toucangw.example/core/member"
+	"toucangw.example/core/policy"
+)
+
+const testService = "ledger"
+
+var testNow = time.Unix(1_700_000_000, 0)
+
+// zones returns n hosts, spread in turn over the zones.
+func zones(n int, names ...string) []member.Host {
+	hosts := make([]member.Host, n)
+	for i := range hosts {
+		hosts[i] = member.Host{
+			ID: member.HostID(fmt.Sprintf("h%03d", i)), Region: "r",
+			Zone: names[i%len(names)], Service: testService, Incarnation: 1,
+		}
+	}
+	return hosts
+}
+
+func newRouter(seed uint64) *router {
+	source := rand.New(rand.NewPCG(seed, 1))
+	self := Locality{Host: "self", Zone: "a", Region: "r"}
+	return New(self, source.IntN).(*router)
+}
+
+func withHosts(seed uint64, hosts []member.Host) *router {
+	r := newRouter(seed)
+	r.SetPolicy(testNow, &policy.Policy{Services: map[string]*policy.Service{
+		testService: {Slots: 10, SubsetSize: 8, ColdStart: 5 * time.Second},
+	}})
+	r.SetHosts(testNow, testService, hosts)
+	return r
+}
+
+func pick(t *testing.T, r *router, now time.Time, exclude ...member.HostID) Choice {
+	t.Helper()
+	c, ok := r.Pick(now, &call.Request{Service: testService}, exclude)
+	require.True(t, ok)
+	return c
+}
+
+// play makes n calls, one each millisecond, that end at once with the outcome
+// of their host, and counts them by host.
+func play(t *testing.T, r *router, start time.Time, n int, out func(member.Host) Outcome) map[member.HostID]int {
+	t.Helper()
+	counts := map[member.HostID]int{}
+	for i := range n {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		h := pick(t, r, now).Host
+		counts[h.ID]++
+		r.Sent(now, h.ID)
+		r.Done(now, h.ID, out(h))
+	}
+	return counts
+}
+
+func good(member.Host) Outcome { return Outcome{Latency: 5 * time.Millisecond} }
+
+func failing(ids ...member.HostID) func(member.Host) Outcome {
+	return func(h member.Host) Outcome {
+		for _, id := range ids {
+			if h.ID == id {
+				return Outcome{Failed: true}
+			}
+		}
+		return good(h)
+	}
+}
+
+// Guards against choices that cannot be replayed.
+func TestSameSeedSameChoices(t *testing.T) {
+	trace := func(order int) (ids []member.HostID) {
+		hosts := zones(20, "a", "b", "c")
+		rand.New(rand.NewPCG(uint64(order), 2)).Shuffle(len(hosts), func(i, j int) {
+			hosts[i], hosts[j] = hosts[j], hosts[i]
+		})
+		r := withHosts(7, hosts)
+		for i := range 500 {
+			now := testNow.Add(time.Duration(i) * time.Millisecond)
+			h := pick(t, r, now).Host
+			r.Sent(now, h.ID)
+			if i%3 > 0 {
+				r.Done(now, h.ID, failing("h003", "h006")(h))
+			}
+			ids = append(ids, h.ID)
+		}
+		return ids
+	}
+	want := trace(1)
+	for order := range 10 {
+		require.Equal(t, want, trace(order))
+	}
+}
+
+// Guards the bound on connections, its share for other zones, and against a
+// subset that changes more than the list does.
+func TestSubsetIsBoundedAndStable(t *testing.T) {
+	hosts := zones(60, "a", "b", "c")
+	r := withHosts(1, hosts)
+	ids := func() map[member.HostID]bool {
+		m := map[member.HostID]bool{}
+		local := 0
+		for _, h := range r.pools[testService].subset {
+			m[h.ID] = true
+			if h.Zone == "a" {
+				local++
+			}
+		}
+		require.Len(t, m, 8)
+		require.Equal(t, 6, local)
+		return m
+	}
+	before := ids()
+	for i := range hosts {
+		r.SetHosts(testNow, testService, append(hosts[:i:i], hosts[i+1:]...))
+		changed := 0
+		for id := range ids() {
+			if !before[id] {
+				changed++
+			}
+		}
+		require.LessOrEqual(t, changed, 1)
+	}
+}
+
+// Guards against load that leaves the own zone without need.
+func TestOwnZoneFirst(t *testing.T) {
+	counts := play(t, withHosts(1, zones(9, "a", "b", "c")), testNow, 1000, good)
+	for id, n := range counts {
+		assert.Contains(t, []member.HostID{"h000", "h003", "h006"}, id)
+		assert.Greater(t, n, 200)
+	}
+}
+
+// Guards against a zone that is filled to its limit while others have room.
+func TestSpillsBeforeOverload(t *testing.T) {
+	for _, c := range []struct {
+		running  int
+		min, max int
+	}{{5, 0, 0}, {7, 1, 500}, {9, 500, 900}} {
+		r := withHosts(1, zones(9, "a", "b", "c"))
+		report := func(h member.Host) Outcome {
+			out := Outcome{Latency: 5 * time.Millisecond, Report: &Report{Limit: 10}}
+			if h.Zone == "a" {
+				out.Report.Running = c.running
+			}
+			return out
+		}
+		remote := 1000
+		counts := play(t, r, testNow, 1000, report)
+		for _, id := range []member.HostID{"h000", "h003", "h006"} {
+			remote -= counts[id]
+		}
+		assert.GreaterOrEqual(t, remote, c.min, "running %d", c.running)
+		assert.LessOrEqual(t, remote, c.max, "running %d", c.running)
+	}
+}
+
+// Guards against calls that stay with a slow host because it is the only one
+// in the own zone.
+func TestSpillsFromSlowZone(t *testing.T) {
+	slow := func(h member.Host) Outcome {
+		if h.Zone == "a" {
+			return Outcome{Latency: 100 * time.Millisecond}
+		}
+		return good(h)
+	}
+	r := withHosts(1, zones(3, "a", "b", "c"))
+	r.Done(testNow, "h001", good(member.Host{}))
+	assert.Less(t, play(t, r, testNow, 1000, slow)["h000"], 50)
+}
+
+// Guards against a host that fails fast and so attracts calls, and against a
+// host that stays ejected after it has recovered.
+func TestFailingHostIsEjectedAndComesBack(t *testing.T) {
+	r := withHosts(1, zones(4, "a"))
+	counts := play(t, r, testNow, 5000, failing("h002"))
+	assert.Less(t, counts["h002"], 20)
+	later := testNow.Add(5 * time.Second)
+	play(t, r, later, 10_000, good)
+	counts = play(t, r, later.Add(10*time.Second), 1000, good)
+	assert.Greater(t, counts["h002"], 150)
+}
+
+// Guards the bound on ejected hosts: a fault on this side must not send all
+// load to a few hosts or to none.
+func TestEjectionIsBounded(t *testing.T) {
+	for _, c := range []struct{ hosts, bad, ejected int }{
+		{1, 1, 0}, {2, 1, 0}, {3, 1, 1}, {3, 2, 1}, {3, 3, 0}, {8, 5, 2}, {8, 8, 0},
+	} {
+		r := withHosts(1, zones(c.hosts, "a"))
+		for i := range c.bad {
+			for range 5 {
+				r.Done(testNow, member.HostID(fmt.Sprintf("h%03d", i)), Outcome{Failed: true})
+			}
+		}
+		assert.Len(t, r.pools[testService].ejected(testNow), c.ejected, "%+v", c)
+		pick(t, r, testNow)
+	}
+}
+
+// Guards against a new process that gets its full share before it is warm,
+// and against failures of its former incarnation that eject it.
+func TestNewIncarnationRamps(t *testing.T) {
+	hosts := zones(4, "a")
+	r := withHosts(1, hosts)
+	for range 10 {
+		r.Sent(testNow, "h001")
+	}
+	hosts[1].Incarnation = 2
+	r.SetHosts(testNow, testService, hosts)
+	for range 10 {
+		r.Done(testNow, "h001", Outcome{Failed: true})
+	}
+	assert.False(t, r.hosts["h001"].bad(testNow))
+	early := play(t, r, testNow, 1000, good)["h001"]
+	late := play(t, r, testNow.Add(6*time.Second), 1000, good)["h001"]
+	assert.Less(t, early, 20)
+	assert.Greater(t, late, 150)
+
+	hosts[1].Incarnation = 1
+	r.SetHosts(testNow.Add(8*time.Second), testService, hosts)
+	assert.EqualValues(t, 2, r.hosts["h001"].Incarnation, "a stale list brings nothing back")
+}
+
+// Guards against health answers that outweigh the node's own traffic.
+func TestProbeIsAHint(t *testing.T) {
+	r := withHosts(1, zones(2, "a"))
+	h := r.hosts["h000"]
+	r.Probe(testNow, "h000", false)
+	assert.Equal(t, unhealthyWeight, h.health(testNow))
+	r.Done(testNow, "h000", good(h.Host))
+	r.Probe(testNow, "h000", false)
+	assert.Equal(t, 1.0, h.health(testNow), "contradicted by traffic")
+	r.Done(testNow, "h000", Outcome{Failed: true})
+	assert.Equal(t, unhealthyWeight, h.health(testNow))
+	assert.Equal(t, 1.0, h.health(testNow.Add(probeLifetime+1)), "too old")
+	r.Probe(testNow, "h000", true)
+	assert.Equal(t, 1.0, h.health(testNow))
+	for range 5 {
+		r.Done(testNow, "h000", Outcome{Failed: true})
+	}
+	r.Probe(testNow, "h000", true)
+	assert.True(t, h.bad(testNow), "a healthy probe does not end an ejection")
+}
+
+// Guards against a refused call that makes its host look fast or faulty.
+func TestRefusalIsLoadAndNoFault(t *testing.T) {
+	r := withHosts(1, zones(2, "a"))
+	for range 20 {
+		r.Done(testNow, "h000", Outcome{Refused: true})
+	}
+	h := r.hosts["h000"]
+	assert.False(t, h.bad(testNow))
+	assert.True(t, h.latencyAt.IsZero())
+	assert.EqualValues(t, 10, h.load(testNow))
+	assert.Equal(t, member.HostID("h001"), pick(t, r, testNow).Host.ID)
+}
+
+// Guards against a pick of an excluded, leaving or removed host.
+func TestPickLeavesHostsOut(t *testing.T) {
+	hosts := zones(12, "a")
+	hosts[0].Status = member.Leaving
+	r := withHosts(1, hosts)
+	var exclude []member.HostID
+	for range 11 {
+		c := pick(t, r, testNow, exclude...)
+		require.NotContains(t, exclude, c.Host.ID)
+		require.NotEqual(t, member.HostID("h000"), c.Host.ID)
+		exclude = append(exclude, c.Host.ID)
+	}
+	_, ok := r.Pick(testNow, &call.Request{Service: testService}, exclude)
+	assert.False(t, ok)
+
+	r.SetHosts(testNow, testService, nil)
+	_, ok = r.Pick(testNow, &call.Request{Service: testService}, nil)
+	assert.False(t, ok)
+	assert.Empty(t, r.hosts)
+	r.Done(testNow, "h001", Outcome{}) // late reply of a removed host
+}
+
+// Guards against reports and ejections from before a pause that are used
+// after it.
+func TestForget(t *testing.T) {
+	r := withHosts(1, zones(3, "a"))
+	r.Sent(testNow, "h000")
+	for range 5 {
+		r.Done(testNow, "h001", Outcome{Failed: true, Report: &Report{Running: 9, Limit: 10}})
+	}
+	r.Forget(testNow)
+	assert.False(t, r.hosts["h001"].bad(testNow))
+	assert.Zero(t, r.hosts["h001"].load(testNow))
+	assert.Equal(t, 1, r.hosts["h000"].inFlight)
+}
+
+func BenchmarkPick(b *testing.B) {
+	r := withHosts(1, zones(32, "a", "b", "c"))
+	req := &call.Request{Service: testService}
+	for i := range b.N {
+		now := testNow.Add(time.Duration(i) * time.Microsecond)
+		c, _ := r.Pick(now, req, nil)
+		r.Sent(now, c.Host.ID)
+		r.Done(now, c.Host.ID, Outcome{Latency: time.Millisecond})
+	}
+}
