--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,136 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"toucangw.example/core/limit"
+)
+
+const cost = 8 * time.Millisecond
+
+// plant is an upstream under constant demand that really runs only some calls
+// at once; further calls wait inside it.
+type plant struct {
+	limit  *limit.Limit
+	random *rand.Rand
+	now    time.Time
+	real   int
+	slow   float64
+	free   []time.Time // when each real slot is free
+	ends   []time.Time
+}
+
+func newPlant(slots int) *plant {
+	return &plant{
+		limit:  limit.New(slots, 0),
+		random: rand.New(rand.NewPCG(3, 4)),
+		now:    time.Unix(1000, 0),
+		real:   slots,
+		slow:   1,
+	}
+}
+
+// run lets time pass with a full queue and returns the calls completed.
+func (p *plant) run(length time.Duration) int {
+	completed := 0
+	for end := p.now.Add(length); p.now.Before(end); p.now = p.now.Add(100 * time.Microsecond) {
+		kept := p.ends[:0]
+		finished := 0
+		for _, at := range p.ends {
+			if at.After(p.now) {
+				kept = append(kept, at)
+				continue
+			}
+			finished++
+		}
+		p.ends = kept
+		for range finished {
+			completed++
+			p.limit.Running(p.now, len(p.ends))
+			p.limit.Answered(p.now, cost)
+		}
+		for len(p.ends) < p.limit.Current(p.now) {
+			p.start()
+		}
+		p.limit.Running(p.now, len(p.ends))
+	}
+	return completed
+}
+
+func (p *plant) start() {
+	for len(p.free) < p.real {
+		p.free = append(p.free, p.now)
+	}
+	p.free = p.free[:p.real]
+	first := 0
+	for i, at := range p.free {
+		if at.Before(p.free[first]) {
+			first = i
+		}
+	}
+	begin := p.free[first]
+	if begin.Before(p.now) {
+		begin = p.now
+	}
+	spread := 0.5 + p.random.Float64()
+	end := begin.Add(time.Duration(p.slow * spread * float64(cost)))
+	p.free[first] = end
+	p.ends = append(p.ends, end)
+}
+
+// Guards against a limit that does not notice lost capacity, or that does not
+// come back with it.
+func TestFindsHalvedCapacityAndRecovers(t *testing.T) {
+	p := newPlant(80)
+	p.run(time.Second)
+	assert.Equal(t, 80, p.limit.Current(p.now))
+	p.real = 40
+	p.run(3 * time.Second)
+	found := p.limit.Current(p.now)
+	assert.LessOrEqual(t, found, 56)
+	assert.GreaterOrEqual(t, found, 34)
+	p.real = 80
+	p.run(time.Second)
+	assert.Equal(t, 80, p.limit.Current(p.now))
+}
+
+// Guards against giving up capacity of a service that is slow at any
+// concurrency.
+func TestLinearSlownessIsNotThrottled(t *testing.T) {
+	p := newPlant(80)
+	p.run(time.Second)
+	p.slow = 5
+	full := 80 / (5 * cost.Seconds()) * 4
+	assert.Greater(t, float64(p.run(4*time.Second)), 0.95*full)
+	p.slow = 1
+	p.run(500 * time.Millisecond)
+	assert.Equal(t, 80, p.limit.Current(p.now))
+}
+
+// Guards against ignoring an upstream's own refusals.
+func TestShedLowersLimit(t *testing.T) {
+	p := newPlant(80)
+	p.run(time.Second)
+	p.limit.Shed(p.now, 60)
+	assert.Equal(t, 57, p.limit.Current(p.now))
+	p.limit.Shed(p.now, 60)
+	assert.Equal(t, 57, p.limit.Current(p.now), "refusals of one burst count once")
+	p.run(time.Second)
+	assert.Equal(t, 80, p.limit.Current(p.now))
+}
+
+// Guards against a limit above new, lower slots.
+func TestSetSlots(t *testing.T) {
+	l := limit.New(80, 0)
+	now := time.Unix(1000, 0)
+	l.SetSlots(20, 0)
+	assert.Equal(t, 20, l.Current(now))
+	l.SetSlots(50, 0)
+	assert.Equal(t, 50, l.Current(now))
+	l.SetSlots(0, 0)
+	assert.Equal(t, 1, l.Current(now))
+}
