--- /dev/null
+++ b/node/confsync/confsync.go
@@ -0,0 +1,42 @@
+// Package confsync keeps the configuration and the host view of a node up to
+// date. It carries out the decisions of core/spread: it reads and watches the
+// platform, exchanges values with other nodes and compiles snapshots.
+package confsync
+
+import (
+	"context"
+	"log/slog"
+
+	"toucangw.example/core/member"
+	"toucangw.example/core/policy"
+	"toucangw.example/peer"
+)
+
+// Peers sends messages to other nodes. Implementations are safe for concurrent
+// use.
+type Peers interface {
+	Exchange(ctx context.Context, host member.Host, req *peer.ExchangeRequest) (*peer.ExchangeReply, error)
+	Push(ctx context.Context, host member.Host, req *peer.PushRequest) (*peer.PushReply, error)
+}
+
+// Compiler turns a snapshot into one policy per site in overlays. An error
+// means that the snapshot is not valid. It must be safe for concurrent use.
+type Compiler func(revision uint64, base []byte, overlays map[string][]byte) (map[string]*policy.Policy, error)
+
+// Config describes a node to the service.
+type Config struct {
+	Self         member.Host
+	Incarnation  uint64
+	Site         string
+	PlatformURLs []string // tried in turn
+	Seeds        []string // peer addresses (IP:port) asked at start, before a list is known
+	Peers        Peers
+	Compiler     Compiler
+	// OnPolicy is called when a configuration comes into force, OnHosts when
+	// the usable hosts per service change. Calls of each are serialised; they
+	// must not call the service.
+	OnPolicy func(*policy.Policy)
+	OnHosts  func(map[string][]member.Host)
+	Logger   *slog.Logger
+	Seed     uint64 // of the random source
+}
--- /dev/null
+++ b/node/confsync/platform.go
@@ -0,0 +1,105 @@
+package confsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	// maxAnswerBytes bounds one answer of the platform: all values of a prefix,
+	// each up to a megabyte.
+	maxAnswerBytes = 64 << 20
+	// answerMargin is added to the time that a watch may wait.
+	answerMargin = 3 * time.Second
+	dialTimeout  = time.Second
+)
+
+// platformValue is one value in an answer of the platform.
+type platformValue struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	SHA256   string `json:"sha256"`
+	Body     string `json:"body"`
+}
+
+// platformAnswer is the answer to a read or watch of a prefix.
+type platformAnswer struct {
+	Revision uint64          `json:"revision"`
+	Digest   string          `json:"digest"`
+	Values   []platformValue `json:"values"`
+	Deleted  []string        `json:"deleted"`
+}
+
+// platformClient reads published values. It is safe for concurrent use.
+type platformClient struct {
+	urls   []string
+	client *http.Client
+}
+
+func newPlatformClient(urls []string) *platformClient {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &platformClient{urls: urls, client: &http.Client{Transport: transport}}
+}
+
+// read asks each address in turn, beginning with number first, and returns the
+// first answer.
+func (c *platformClient) read(
+	ctx context.Context, first int, prefix string, after uint64, wait time.Duration,
+) (*platformAnswer, error) {
+	if len(c.urls) == 0 {
+		return nil, errors.New("no platform address is set")
+	}
+	var errs []error
+	for i := range c.urls {
+		base := c.urls[(first+i)%len(c.urls)]
+		answer, err := c.readFrom(ctx, base, prefix, after, wait)
+		if err == nil {
+			return answer, nil
+		}
+		errs = append(errs, err)
+	}
+	return nil, errors.Join(errs...)
+}
+
+func (c *platformClient) readFrom(
+	ctx context.Context, base, prefix string, after uint64, wait time.Duration,
+) (*platformAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	defer cancel()
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/values?"+query.Encode(), nil)
+	if err != nil {
+		return nil, fmt.Errorf("platform address %q: %w", base, err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("read platform: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("read platform %s: status %s", base, resp.Status)
+	}
+	var answer platformAnswer
+	body := io.LimitReader(resp.Body, maxAnswerBytes)
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
+		return nil, fmt.Errorf("read platform %s: %w", base, err)
+	}
+	return &answer, nil
+}
