--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -229,16 +229,20 @@
 		Cancelled: g.cancelled,
 	})
 	refusal := &verdict.Refusal{Verdict: ev.Verdict, Reason: ev.Reason, Detail: ev.Detail}
-	switch {
-	case ev.Verdict == verdict.NotRun:
+	e.failRun(now, g, refusal)
+	e.apply(now, decisions)
+}
+
+// failRun ends a run that brought no whole answer.
+func (e *Engine) failRun(now time.Time, g *guardCall, refusal *verdict.Refusal) {
+	if refusal.Verdict == verdict.NotRun {
 		e.rejectRun(now, g, refusal)
-	default:
-		if g.req.Key != "" {
-			e.keys.Break(now, g.req.Key)
-		}
-		e.endGuard(now, g, nil, refusal)
+		return
 	}
-	e.apply(now, decisions)
+	if g.req.Key != "" {
+		e.keys.Break(now, g.req.Key)
+	}
+	e.endGuard(now, g, nil, refusal)
 }
 
 // refuseGuard refuses a call as not run. For a once-only call this holds for
