core/once: record runs that are proven not to have happened

Cause: the Ledger interface gained Reject, for an upstream that refused or was never reached. Change: Reject fences a key that is queued or running; an outcome recorded as unknown or done stays.

--- a/core/once/ledger.go
+++ b/core/once/ledger.go
@@ -265,6 +265,14 @@
 	}
 }
 
+// Reject implements Ledger. It has no effect once the outcome was recorded as
+// unknown or done.
+func (l *ledger) Reject(now time.Time, key string) {
+	if e := l.entry(now, key); e != nil && e.unfinished() {
+		e.state = Fenced
+	}
+}
+
 func (l *ledger) entry(now time.Time, key string) *entry {
 	l.advance(now)
 	t, ok := l.signer.open(key)
--- a/core/once/ledger_test.go
+++ b/core/once/ledger_test.go
@@ -180,6 +180,24 @@
 	assert.Equal(t, Replay, l.Submit(testStart, key, request()).Step)
 }
 
+// Guards against "not run" taken back, and against "not run" for an outcome
+// that was recorded as unknown or done.
+func TestRejectedRunIsFenced(t *testing.T) {
+	l := newLedger(t, testConfig())
+	rejected, lost, done := issue(t, l, testStart), issue(t, l, testStart), issue(t, l, testStart)
+	for _, key := range []string{rejected, lost, done} {
+		start(t, l, testStart, key)
+	}
+	l.Break(testStart, lost)
+	l.Finish(testStart, done, answer(1))
+	for _, key := range []string{rejected, lost, done} {
+		l.Reject(testStart, key)
+	}
+	requireRefused(t, l.Submit(testStart, rejected, request()), verdict.NotRun, verdict.KeyFenced)
+	requireRefused(t, l.Submit(testStart, lost, request()), verdict.MayHaveRun, verdict.ConnectionLost)
+	assert.Equal(t, Replay, l.Submit(testStart, done, request()).Step)
+}
+
 // Guards against use of a key by another caller, for another service or for
 // another request, and against "not run" for a key that ran.
 func TestKeyIsBound(t *testing.T) {
