route: do not count cancelled attempts as refusals

Cause: the engine settled an attempt whose caller went away as refused, and the router took that for a host at its limit. Change: Outcome.Cancelled frees the in-flight count only. Figures: the new test fails without the change, passes with it. Conclusion: impatient callers no longer steer traffic away from healthy hosts.

--- a/core/engine/attempt.go
+++ b/core/engine/attempt.go
@@ -25,10 +25,6 @@
 	maxKeyTries = 3
 )
 
-// outcomeCancelled ends an attempt whose reply is no longer wanted; it says
-// nothing about the host.
-var outcomeCancelled = route.Outcome{Refused: true}
-
 // place chooses the first host of a call and sends it there.
 func (e *Engine) place(now time.Time, rec *entryCall) {
 	if rec.req.Key != "" {
--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -10,6 +10,7 @@
 	"toucangw.example/core/policy"
 	"toucangw.example/core/pressure"
 	"toucangw.example/core/retry"
+	"toucangw.example/core/route"
 	"toucangw.example/core/verdict"
 )
 
@@ -245,7 +246,7 @@
 func (e *Engine) finishEntry(now time.Time, rec *entryCall, answer AnswerCaller) {
 	if rec.inFlight {
 		e.emit(CancelAttempt{ID: rec.id, Attempt: rec.attempt})
-		e.endAttempt(now, rec, outcomeCancelled)
+		e.endAttempt(now, rec, route.Outcome{Cancelled: true})
 	}
 	delete(e.entries, rec.id)
 	if rec.parent != nil {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -22,6 +22,9 @@
 	Failed bool
 	// Refused is set when the host refused for load, which is no fault.
 	Refused bool
+	// Cancelled is set when the reply was no longer wanted, which says nothing
+	// about the host.
+	Cancelled bool
 	// Report is the load that the host reported with its reply; nil if none.
 	Report *Report
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -319,6 +319,9 @@
 		return
 	}
 	h.inherited = min(h.inherited, h.inFlight)
+	if out.Cancelled {
+		return
+	}
 	h.observe(now, out.Failed, r.random)
 	r.learnLoad(now, h, out)
 	if !out.Failed && !out.Refused {
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -316,3 +316,14 @@
 		r.Done(now, c.Host.ID, Outcome{Latency: time.Millisecond})
 	}
 }
+
+// Guards against counting attempts that callers cancelled as refusals: many
+// impatient callers would make a healthy host look full.
+func TestCancelledAttemptLeavesHostUnchanged(t *testing.T) {
+	r := withHosts(1, zones(2, "a"))
+	r.Sent(testNow, "h000")
+	before := *r.hosts["h000"]
+	before.inFlight = 0
+	r.Done(testNow, "h000", Outcome{Latency: time.Second, Cancelled: true})
+	assert.Equal(t, before, *r.hosts["h000"])
+}
