--- a/cmd/toucangwctl/main.go
+++ b/cmd/toucangwctl/main.go
@@ -1,4 +1,8 @@
-// Command toucangwctl is the operators' tool.
+// Command toucangwctl is the operators' command-line tool.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], systemEnvironment()))
+}
--- a/settings/document.go
+++ b/settings/document.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
+	"unicode"
 
 	"github.com/BurntSushi/toml"
 )
@@ -151,9 +153,22 @@
 		p.Key = label(parse.LastKey)
 		p.Message = parse.Message
 	}
+	p.Message = printable(p.Message)
 	r.out.add(p)
 }
 
+// printable keeps text that the library repeats from a file from controlling a
+// terminal.
+func printable(text string) string {
+	plain := func(c rune) rune {
+		if unicode.IsPrint(c) {
+			return c
+		}
+		return unicode.ReplacementChar
+	}
+	return strings.Map(plain, shorten(text, maxMessage))
+}
+
 func (r *reader) report(path []string, key, rule, message string) {
 	r.out.add(Problem{File: r.src.Name, Line: r.lines.find(path...), Key: key, Rule: rule, Message: message})
 }
--- a/settings/fuzz_test.go
+++ b/settings/fuzz_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+	"unicode"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -80,7 +82,9 @@
 		require.GreaterOrEqual(t, p.Line, 0)
 		require.LessOrEqual(t, p.Line, bytes.Count(data, []byte("\n"))+1)
 		require.NotEmpty(t, p.Rule)
-		require.NotContains(t, p.String(), "\n")
+		unprintable := strings.IndexFunc(p.String(), func(r rune) bool { return !unicode.IsPrint(r) })
+		require.Negative(t, unprintable, "%q could control a terminal", p.String())
+		require.Less(t, len(p.String()), 1000)
 	}
 }
 
--- a/settings/problem.go
+++ b/settings/problem.go
@@ -85,17 +85,21 @@
 	)
 }
 
-// maxQuoted bounds file content that is repeated in a message.
-const maxQuoted = 60
+// Bounds of file content that is repeated in a message, and of messages of the
+// TOML library.
+const (
+	maxQuoted  = 60
+	maxMessage = 300
+)
 
 // quoted formats a message whose single argument is text from a file.
 func quoted(format, text string) string {
-	return fmt.Sprintf(format, fmt.Sprintf("%q", shorten(text)))
+	return fmt.Sprintf(format, fmt.Sprintf("%q", shorten(text, maxQuoted)))
 }
 
-func shorten(text string) string {
-	if len(text) <= maxQuoted {
+func shorten(text string, size int) string {
+	if len(text) <= size {
 		return text
 	}
-	return strings.ToValidUTF8(text[:maxQuoted], "") + "..."
+	return strings.ToValidUTF8(text[:size], "") + "..."
 }
--- a/settings/value.go
+++ b/settings/value.go
@@ -158,7 +158,7 @@
 	if inside {
 		return nil
 	}
-	return &fault{RuleRange, fmt.Sprintf("%s is out of range; want %s", shorten(text), k.RangeText())}
+	return &fault{RuleRange, fmt.Sprintf("%s is out of range; want %s", shorten(text, maxQuoted), k.RangeText())}
 }
 
 func parsePath(text string) (any, *fault) {
