core/engine: use one key for equal once-only sub-calls made at once

Change: the second call takes the key of the first, and a dropped key does not erase a newer one. A repeat after a proven not-run key gets a fresh key.

--- a/core/engine/keys.go
+++ b/core/engine/keys.go
@@ -98,13 +98,26 @@
 		e.finishEntry(now, rec, AnswerCaller{Refusal: refusal, Key: ev.Key})
 		return
 	}
-	rec.req.Key = ev.Key
-	if rec.sub != nil {
-		rec.sub.key = ev.Key
-	}
+	e.takeKey(rec, ev.Key)
 	e.sendToOwner(now, rec, false)
 }
 
+// takeKey gives a call the key that was issued for it. If the same outgoing
+// call was made twice at once, both use the key that came first, since two keys
+// would run the action twice.
+func (e *Engine) takeKey(rec *entryCall, key string) {
+	rec.req.Key = key
+	if rec.sub == nil {
+		return
+	}
+	if rec.sub.key == "" {
+		rec.sub.key = key
+		return
+	}
+	rec.req.Key = rec.sub.key
+	rec.known = verdict.MayHaveRun
+}
+
 // keyDenied asks another host for a key, which costs no retry credit since
 // nothing ran.
 func (e *Engine) keyDenied(now time.Time, rec *entryCall, refusal *verdict.Refusal) {
@@ -124,9 +137,15 @@
 
 // dropKey forgets a key that is proven never to run.
 func (e *Engine) dropKey(rec *entryCall) {
+	e.forgetSubKey(rec)
 	rec.req.Key = ""
 	rec.known = verdict.NotRun
-	if rec.sub != nil {
+}
+
+// forgetSubKey lets a repeat of an outgoing call get another key. A key that a
+// concurrent repeat has obtained since is kept.
+func (e *Engine) forgetSubKey(rec *entryCall) {
+	if rec.sub != nil && rec.sub.key == rec.req.Key {
 		rec.sub.key = ""
 	}
 }
