core/engine: check fault histories over several engines

Cause: the promises on once-only runs, verdicts, answers and retries were not yet tested with faults around the whole engine.

--- /dev/null
+++ b/core/engine/history_test.go
@@ -0,0 +1,62 @@
+package engine_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"toucangw.example/core/engine"
+	"toucangw.example/core/internal/history"
+)
+
+// Histories in CI: parts run in parallel, each with its own range of seeds.
+const (
+	historyParts   = 10
+	historiesAPart = 1_050
+)
+
+var (
+	historySeed  = flag.Uint64("history.seed", 0, "replay this one history of TestHistories with its trace")
+	historyFirst = flag.Uint64("history.first", 1, "first seed of TestHistories, to try others than CI does")
+)
+
+func play(seed uint64) history.Options {
+	return history.Options{Seed: seed, Records: engine.Records}
+}
+
+// Guards the invariants of design section 1.1 that concern single calls, under
+// generated faults: see package history for what is checked.
+func TestHistories(t *testing.T) {
+	if *historySeed != 0 {
+		opt := play(*historySeed)
+		opt.Trace = func(line string) { fmt.Println(line) }
+		_, err := history.Run(opt)
+		require.NoError(t, err)
+		return
+	}
+	parts := make([]history.Stats, historyParts)
+	t.Run("parts", func(t *testing.T) {
+		for part := range parts {
+			t.Run(fmt.Sprint(part), func(t *testing.T) {
+				t.Parallel()
+				for i := range historiesAPart {
+					seed := *historyFirst + uint64(part*historiesAPart+i)
+					stats, err := history.Run(play(seed))
+					if err != nil {
+						t.Fatalf("%v\nreplay: go test ./core/engine -run 'TestHistories$' -history.seed=%d", err, seed)
+					}
+					parts[part].Add(stats)
+				}
+			})
+		}
+	})
+	var all history.Stats
+	for _, s := range parts {
+		all.Add(s)
+	}
+	t.Logf("%+v", all)
+	assert.Greater(t, all.Answered, all.Calls/3, "the histories must not consist of refusals only")
+}
--- a/core/engine/keys.go
+++ b/core/engine/keys.go
@@ -69,6 +69,15 @@
 }
 
 func (e *Engine) requestKeyFrom(now time.Time, rec *entryCall, host member.Host) {
+	remaining := rec.req.Deadline.Sub(now)
+	if remaining <= replyMargin {
+		e.refuseEntry(now, rec, &verdict.Refusal{
+			Verdict: rec.known,
+			Reason:  verdict.DeadlineUnmet,
+			Detail:  "no time left to get a key",
+		})
+		return
+	}
 	rec.keyTries++
 	rec.host = host.ID
 	rec.tried = append(rec.tried, host.ID)
@@ -79,7 +88,7 @@
 			Host:    host,
 			Service: rec.req.Service,
 			Caller:  rec.req.Caller,
-			Timeout: shorter(keyTimeout, rec.req.Deadline.Sub(now)),
+			Timeout: min(keyTimeout, remaining),
 		},
 	)
 }
