--- /dev/null
+++ b/core/spread/exchange.go
@@ -0,0 +1,220 @@
+package spread
+
+import (
+	"errors"
+	"time"
+
+	"toucangw.example/core/member"
+)
+
+// detailedSpacing keeps several answers that do not fit from causing several
+// requests for whole values.
+const detailedSpacing = 500 * time.Millisecond
+
+func (s *State) versions() []SetVersion {
+	return []SetVersion{s.config.version(), s.hosts.version()}
+}
+
+func (s *State) request(now time.Time) *ExchangeRequest {
+	return &ExchangeRequest{From: s.cfg.Self, Sets: s.versions(), Facts: s.facts.digest, Sign: s.ownSign(now)}
+}
+
+// exchange begins the periodic exchanges.
+func (s *State) exchange(now time.Time) []Action {
+	if len(s.nodes) == 0 {
+		return s.exchangeWithSeed(now)
+	}
+	var out []Action
+	id, ok := s.partners.one()
+	if ok {
+		out = append(out, SendExchange{To: id, Request: s.request(now)})
+	}
+	if reader, ok := s.readerToAsk(); ok && reader != id {
+		out = append(out, SendExchange{To: reader, Request: s.request(now)})
+	}
+	return out
+}
+
+func (s *State) exchangeWithSeed(now time.Time) []Action {
+	if len(s.cfg.Seeds) == 0 {
+		return nil
+	}
+	id := s.cfg.Seeds[s.cfg.Random(len(s.cfg.Seeds))]
+	return []Action{SendExchange{To: id, Request: s.request(now)}}
+}
+
+// readerToAsk returns the reader that a deputy asks for a sign, in rotation.
+func (s *State) readerToAsk() (member.HostID, bool) {
+	if s.rank < ReadersPerZone || s.rank >= ReadersPerZone+deputies || len(s.readers) == 0 {
+		return "", false
+	}
+	s.rotation++
+	return s.readers[s.rotation%len(s.readers)], true
+}
+
+func (s *State) ownSign(now time.Time) Sign {
+	if s.reading() {
+		return Sign{Zone: s.cfg.Zone, Reader: s.cfg.Self}
+	}
+	return Sign{Zone: s.cfg.Zone, Reader: s.signOf, Age: min(NoSign, now.Sub(s.sign))}
+}
+
+func (s *State) takeSign(now time.Time, sign Sign) {
+	if sign.Zone != s.cfg.Zone || sign.Reader == s.cfg.Self || sign.Reader == "" || sign.Age < 0 {
+		return
+	}
+	if at := now.Add(-sign.Age); at.After(s.sign) {
+		s.sign = at
+		s.signOf = sign.Reader
+	}
+}
+
+// HandleExchange answers the request of another node.
+func (s *State) HandleExchange(now time.Time, req *ExchangeRequest) (*ExchangeReply, []Action) {
+	s.takeSign(now, req.Sign)
+	reply := &ExchangeReply{Sets: s.versions(), Digest: s.facts.digest, Sign: s.ownSign(now)}
+	for _, v := range req.Sets {
+		l := s.lane(v.Prefix)
+		if l == nil {
+			continue
+		}
+		if v.Prefix == ConfigPrefix && v.InForce > 0 {
+			s.report(now, req.From, v.InForce)
+		}
+		if u := l.offer(v); u != nil {
+			reply.Updates = append(reply.Updates, *u)
+		}
+	}
+	if req.Facts != s.facts.digest {
+		reply.Facts = s.facts.newest(now, factsPerMessage)
+	}
+	return reply, nil
+}
+
+func (s *State) exchangeReplied(now time.Time, e ExchangeReplied) []Action {
+	s.takeSign(now, e.Reply.Sign)
+	out := s.learn(now, e.Reply.Facts)
+	out = append(out, s.takeUpdates(e.Reply.Updates)...)
+	s.peerAnswered(now, e.From, e.Reply.Sets)
+	out = append(out, s.askDetailed(now, e)...)
+	push := s.behind(e.Reply.Sets)
+	var facts []Fact
+	if e.Reply.Digest != s.facts.digest {
+		facts = s.facts.newest(now, factsPerMessage)
+	}
+	if len(push) > 0 || len(facts) > 0 {
+		out = append(out, SendPush{To: e.From, Second: true, Request: s.push(now, push, facts)})
+	}
+	return append(out, s.settle(now)...)
+}
+
+// takeUpdates applies updates and asks for judgement of what results.
+func (s *State) takeUpdates(updates []Update) []Action {
+	var out []Action
+	for _, u := range updates {
+		l := s.lane(u.Prefix)
+		if l == nil {
+			continue
+		}
+		err := l.take(u)
+		switch {
+		case err == nil:
+			out = append(out, s.judge(l)...)
+		case errors.Is(err, ErrCorrupt), errors.Is(err, ErrTorn):
+			l.discards++
+		}
+	}
+	return out
+}
+
+// askDetailed asks for all values that differ if the other node has a newer set
+// and its update was missing or did not fit.
+func (s *State) askDetailed(now time.Time, e ExchangeReplied) []Action {
+	req := s.request(now)
+	ask := false
+	for _, theirs := range e.Reply.Sets {
+		l := s.lane(theirs.Prefix)
+		if l == nil || theirs.InForce <= l.held.Revision {
+			continue
+		}
+		if now.Sub(s.detailedAt[l.prefix]) < detailedSpacing {
+			continue
+		}
+		s.detailedAt[l.prefix] = now
+		ask = true
+		for j := range req.Sets {
+			if req.Sets[j].Prefix == l.prefix {
+				req.Sets[j] = l.detailed()
+			}
+		}
+	}
+	if !ask {
+		return nil
+	}
+	return []Action{SendExchange{To: e.From, Request: req}}
+}
+
+// behind returns what another node lacks.
+func (s *State) behind(theirs []SetVersion) []Update {
+	var out []Update
+	for _, v := range theirs {
+		l := s.lane(v.Prefix)
+		if l == nil {
+			continue
+		}
+		if u := l.offer(v); u != nil {
+			out = append(out, *u)
+		}
+	}
+	return out
+}
+
+func (s *State) push(now time.Time, updates []Update, facts []Fact) *PushRequest {
+	return &PushRequest{From: s.cfg.Self, Updates: updates, Facts: facts, Sign: s.ownSign(now)}
+}
+
+// pushUpdate sends a change that has just come into force to a few partners.
+func (s *State) pushUpdate(now time.Time, u Update) []Action {
+	var out []Action
+	for _, id := range s.partners.some(localPushes, remotePushes) {
+		out = append(out, SendPush{To: id, Request: s.push(now, []Update{u}, nil)})
+	}
+	return out
+}
+
+func (s *State) pushFacts(now time.Time) []Action {
+	if len(s.freshFacts) == 0 {
+		return nil
+	}
+	fresh := s.freshFacts
+	if len(fresh) > factsPerMessage {
+		fresh = fresh[:factsPerMessage] // the exchange carries the others
+	}
+	s.freshFacts = nil
+	var out []Action
+	for _, id := range s.partners.some(localPushes, remotePushes) {
+		out = append(out, SendPush{To: id, Request: s.push(now, nil, fresh)})
+	}
+	return out
+}
+
+// HandlePush takes what another node pushed.
+func (s *State) HandlePush(now time.Time, req *PushRequest) (*PushReply, []Action) {
+	s.takeSign(now, req.Sign)
+	out := s.learn(now, req.Facts)
+	out = append(out, s.takeUpdates(req.Updates)...)
+	return &PushReply{Sets: s.versions()}, out
+}
+
+// pushReplied sends the chain from the receiver's version if the pushed delta
+// did not fit there.
+func (s *State) pushReplied(now time.Time, e PushReplied) []Action {
+	if e.Second {
+		return nil
+	}
+	updates := s.behind(e.Reply.Sets)
+	if len(updates) == 0 {
+		return nil
+	}
+	return []Action{SendPush{To: e.From, Second: true, Request: s.push(now, updates, nil)}}
+}
--- /dev/null
+++ b/core/spread/message.go
@@ -0,0 +1,84 @@
+package spread
+
+import (
+	"time"
+
+	"toucangw.example/core/member"
+)
+
+// SetVersion tells which set a node holds.
+type SetVersion struct {
+	Prefix  string
+	InForce uint64 // store revision in force
+	Held    uint64 // newest store revision held, in force or not
+	// Versions lists the values held. It is only set in a request that asks for
+	// all values that differ.
+	Versions []Version
+}
+
+// Version names one revision of a value.
+type Version struct {
+	Name     string
+	Revision uint64
+}
+
+// Update turns the set at one store revision into a later one.
+type Update struct {
+	Prefix string
+	From   uint64 // 0: the update applies to whatever the receiver listed
+	To     uint64
+	Digest Digest // of the resulting set
+	Deltas []Delta
+	// Versions lists all values of the resulting set if From is 0, so that the
+	// receiver drops others; Removed lists the dropped ones otherwise.
+	Versions []Version
+	Removed  []string
+}
+
+// Sign is the newest sign of a reader in the sender's availability zone.
+type Sign struct {
+	Zone   string
+	Reader member.HostID // empty if none was seen
+	Age    time.Duration // at most NoSign
+}
+
+// NoSign is the highest age of a sign that is sent.
+const NoSign = time.Hour
+
+// ExchangeRequest compares what two nodes hold.
+type ExchangeRequest struct {
+	From  member.HostID
+	Sets  []SetVersion
+	Facts uint64 // digest of the facts held
+	Sign  Sign
+}
+
+// ExchangeReply carries what the asking node lacks.
+type ExchangeReply struct {
+	Sets    []SetVersion // what the answering node holds
+	Updates []Update
+	Digest  uint64 // of the facts held
+	Facts   []Fact // set if the digests differ
+	Sign    Sign
+}
+
+// PushRequest hands over what has just changed.
+type PushRequest struct {
+	From    member.HostID
+	Updates []Update
+	Facts   []Fact
+	Sign    Sign
+}
+
+// PushReply tells what the receiver holds now.
+type PushReply struct {
+	Sets []SetVersion
+}
+
+// Answer is what the platform holds under a prefix.
+type Answer struct {
+	Revision uint64 // store revision of the newest change under the prefix
+	Digest   Digest // of all values under the prefix
+	Values   []Value
+	Deleted  []string
+}
--- /dev/null
+++ b/core/spread/spreadtest/deploy.go
@@ -0,0 +1,101 @@
+package spreadtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"toucangw.example/core/member"
+	"toucangw.example/core/spread"
+)
+
+// seedsPerFleet is the number of nodes that others know from their settings.
+const seedsPerFleet = 3
+
+// ListBody returns the JSON of a host list with the given ids.
+func ListBody(zone string, ids []member.HostID) string {
+	type host struct {
+		ID      string `json:"id"`
+		Addr    string `json:"addr"`
+		Service string `json:"service"`
+		Status  string `json:"status"`
+	}
+	out := struct {
+		Zone   string `json:"zone"`
+		Region string `json:"region"`
+		Hosts  []host `json:"hosts"`
+	}{Zone: zone, Region: "region-1", Hosts: []host{}}
+	for i, id := range ids {
+		out.Hosts = append(out.Hosts, host{
+			ID:      string(id),
+			Addr:    fmt.Sprintf("10.%d.%d.%d:7000", zone[len(zone)-1], i/250, i%250+1),
+			Service: fmt.Sprintf("service-%03d", i%650),
+			Status:  "live",
+		})
+	}
+	body, err := json.MarshalIndent(out, "", " ")
+	if err != nil {
+		panic(err)
+	}
+	return string(body)
+}
+
+// Deploy adds nodes in zones a, b, ..., publishes their lists, a base and one
+// overlay per zone, and starts all nodes.
+func (f *Fleet) Deploy(nodes, zones int, base string) {
+	byZone := map[string][]member.HostID{}
+	for i := range nodes {
+		zone := ZoneName(i % zones)
+		id := member.HostID(fmt.Sprintf("host-%05d", i))
+		f.Add(id, zone)
+		byZone[zone] = append(byZone[zone], id)
+	}
+	for i := range zones {
+		zone := ZoneName(i)
+		f.Platform.Put(spread.HostsPrefix+zone, ListBody(zone, byZone[zone]))
+		f.Platform.Put(spread.OverlayPrefix+zone, "# "+zone+"\n")
+	}
+	f.Platform.Put(spread.BaseName, base)
+	for _, n := range f.Nodes {
+		n.Start(f.Seeds()...)
+	}
+}
+
+// ZoneName names the zones of Deploy.
+func ZoneName(i int) string { return "zone-" + string(rune('a'+i)) }
+
+// Seeds returns the ids of the seeds.
+func (f *Fleet) Seeds() []member.HostID {
+	var out []member.HostID
+	for _, n := range f.Nodes[:min(seedsPerFleet, len(f.Nodes))] {
+		out = append(out, n.ID)
+	}
+	return out
+}
+
+// UpNodes returns the nodes with a process.
+func (f *Fleet) UpNodes() []*Node {
+	return slices.DeleteFunc(slices.Clone(f.Nodes), func(n *Node) bool { return !n.Up })
+}
+
+// InForce reports whether all running nodes have exactly this revision in force.
+func (f *Fleet) InForce(revision uint64) bool {
+	for _, n := range f.Nodes {
+		if n.Up && n.State.Status().InForce != revision {
+			return false
+		}
+	}
+	return true
+}
+
+// Spread lets time pass until a revision is in force at all running nodes, and
+// returns the time that took, at most limit.
+func (f *Fleet) Spread(revision uint64, limit time.Duration) time.Duration {
+	return f.RunUntil(limit, func() bool { return f.InForce(revision) })
+}
+
+// Readers returns the running nodes that read the platform.
+func (f *Fleet) Readers() []*Node {
+	return slices.DeleteFunc(f.UpNodes(), func(n *Node) bool { return !n.State.Status().Reader })
+}
--- /dev/null
+++ b/core/spread/spreadtest/platform.go
@@ -0,0 +1,168 @@
+package spreadtest
+
+import (
+	"crypto/sha256"
+	"maps"
+	"strings"
+	"time"
+
+	"toucangw.example/core/spread"
+)
+
+// Platform is a fake of the configuration service.
+type Platform struct {
+	revision uint64
+	values   map[string]spread.Value
+	changed  map[string]uint64 // revision of the newest change by prefix
+	deleted  map[string]uint64
+
+	Down  bool
+	Torn  bool      // answers mix revisions
+	stale *Platform // answers come from this copy
+
+	Reads   int // answered, refused and waiting reads
+	Bytes   int // in bodies of answers
+	Waiting int
+	waiters []*waiter
+}
+
+type waiter struct {
+	read   spread.Read
+	answer func(spread.Answer)
+	done   bool
+}
+
+// NewPlatform returns a platform without values.
+func NewPlatform() *Platform {
+	return &Platform{
+		values:  map[string]spread.Value{},
+		changed: map[string]uint64{},
+		deleted: map[string]uint64{},
+	}
+}
+
+// Put publishes a value and returns its store revision.
+func (p *Platform) Put(name, body string) uint64 {
+	p.revision++
+	p.values[name] = spread.Value{
+		Name: name, Revision: p.revision, Sum: sha256.Sum256([]byte(body)), Body: []byte(body),
+	}
+	delete(p.deleted, name)
+	p.touch(name)
+	return p.revision
+}
+
+// Delete removes a value and returns the store revision.
+func (p *Platform) Delete(name string) uint64 {
+	p.revision++
+	delete(p.values, name)
+	p.deleted[name] = p.revision
+	p.touch(name)
+	return p.revision
+}
+
+func (p *Platform) touch(name string) {
+	for _, prefix := range spread.Prefixes {
+		if strings.HasPrefix(name, prefix) {
+			p.changed[prefix] = p.revision
+		}
+	}
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	if p.Down || p.stale != nil {
+		return
+	}
+	waiters := p.waiters
+	p.waiters = nil
+	for _, w := range waiters {
+		switch {
+		case w.done:
+		case p.changed[w.read.Prefix] > w.read.After:
+			w.finish(p)
+		default:
+			p.waiters = append(p.waiters, w)
+		}
+	}
+}
+
+func (w *waiter) finish(p *Platform) {
+	w.done = true
+	p.Waiting--
+	w.answer(p.answer(w.read.Prefix, w.read.After))
+}
+
+// Freeze makes the platform answer from a copy of what it holds now.
+func (p *Platform) Freeze() {
+	p.stale = &Platform{
+		revision: p.revision,
+		values:   maps.Clone(p.values),
+		changed:  maps.Clone(p.changed),
+		deleted:  maps.Clone(p.deleted),
+	}
+}
+
+// Thaw ends Freeze.
+func (p *Platform) Thaw() {
+	p.stale = nil
+	p.wake()
+}
+
+func (p *Platform) answer(prefix string, after uint64) spread.Answer {
+	source := p
+	if p.stale != nil {
+		source = p.stale
+	}
+	all := map[string]spread.Value{}
+	a := spread.Answer{Revision: source.changed[prefix]}
+	for name, v := range source.values {
+		if !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		all[name] = v
+		if v.Revision > after {
+			a.Values = append(a.Values, v)
+			p.Bytes += len(v.Body)
+		}
+	}
+	for name, revision := range source.deleted {
+		if strings.HasPrefix(name, prefix) && revision > after {
+			a.Deleted = append(a.Deleted, name)
+		}
+	}
+	a.Digest = spread.NewSet(prefix, 0, all).Digest
+	if p.Torn && len(a.Values) > 0 {
+		v := &a.Values[0]
+		v.Body = append(v.Body[:len(v.Body)/2:len(v.Body)/2], "torn"...)
+	}
+	return a
+}
+
+// read answers at once, or when a change comes or the wait ends.
+func (p *Platform) read(read spread.Read, later func(time.Duration, func()), answer func(spread.Answer), fail func()) {
+	p.Reads++
+	if p.Down {
+		fail()
+		return
+	}
+	a := p.answer(read.Prefix, read.After)
+	if read.Wait == 0 || a.Revision > read.After {
+		answer(a)
+		return
+	}
+	w := &waiter{read: read, answer: answer}
+	p.waiters = append(p.waiters, w)
+	p.Waiting++
+	later(read.Wait, func() {
+		switch {
+		case w.done:
+		case p.Down:
+			w.done = true
+			p.Waiting--
+			fail()
+		default:
+			w.finish(p)
+		}
+	})
+}
--- /dev/null
+++ b/core/spread/value.go
@@ -0,0 +1,119 @@
+package spread
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Digest is a SHA-256.
+type Digest = [sha256.Size]byte
+
+// Value is one published value. Body must not be changed.
+type Value struct {
+	Name     string
+	Revision uint64
+	Sum      Digest // SHA-256 of Body
+	Body     []byte
+}
+
+// Set holds all values under a prefix at one store revision. It is read-only
+// once built and may be shared between goroutines.
+type Set struct {
+	Prefix   string
+	Revision uint64
+	Digest   Digest
+	values   map[string]Value
+	names    []string // sorted
+}
+
+// Errors of sets that are not taken.
+var (
+	ErrCorrupt = errors.New("value does not match its hash")
+	ErrTorn    = errors.New("values do not belong to one revision")
+	ErrOld     = errors.New("revision is not newer than the one held")
+	ErrNoBase  = errors.New("delta starts from a revision that is not held")
+	ErrPartial = errors.New("some values were left to the next message")
+)
+
+// NewSet builds a set. The map must not change afterwards.
+func NewSet(prefix string, revision uint64, values map[string]Value) *Set {
+	s := &Set{Prefix: prefix, Revision: revision, values: values}
+	s.names = slices.Sorted(maps.Keys(values))
+	h := sha256.New()
+	var rev [8]byte
+	for _, name := range s.names {
+		v := values[name]
+		binary.BigEndian.PutUint64(rev[:], v.Revision)
+		h.Write([]byte(name))
+		h.Write([]byte{0})
+		h.Write(rev[:])
+		h.Write(v.Sum[:])
+	}
+	h.Sum(s.Digest[:0])
+	return s
+}
+
+// Names returns the names of the values in order.
+func (s *Set) Names() []string { return s.names }
+
+// Value returns a value by name.
+func (s *Set) Value(name string) (Value, bool) {
+	v, ok := s.values[name]
+	return v, ok
+}
+
+// Base returns the body of the base file, nil if there is none.
+func (s *Set) Base() []byte { return s.values[BaseName].Body }
+
+// Overlays returns the bodies of the overlays by site.
+func (s *Set) Overlays() map[string][]byte {
+	out := map[string][]byte{}
+	for _, name := range s.names {
+		if site, ok := strings.CutPrefix(name, OverlayPrefix); ok {
+			out[site] = s.values[name].Body
+		}
+	}
+	return out
+}
+
+// Versions lists the values held.
+func (s *Set) Versions() []Version {
+	out := make([]Version, 0, len(s.names))
+	for _, name := range s.names {
+		out = append(out, Version{Name: name, Revision: s.values[name].Revision})
+	}
+	return out
+}
+
+// merge applies an answer of the platform. Values that the set holds at a
+// newer revision, received from peers meanwhile, are kept.
+func (s *Set) merge(a Answer, full bool) (*Set, error) {
+	values := map[string]Value{}
+	if !full {
+		maps.Copy(values, s.values)
+	}
+	for _, v := range a.Values {
+		if !strings.HasPrefix(v.Name, s.Prefix) || v.Revision > a.Revision {
+			return nil, fmt.Errorf("%s at revision %d in an answer at %d: %w", v.Name, v.Revision, a.Revision, ErrTorn)
+		}
+		if sha256.Sum256(v.Body) != v.Sum {
+			return nil, fmt.Errorf("%s at revision %d: %w", v.Name, v.Revision, ErrCorrupt)
+		}
+		if old, ok := values[v.Name]; !ok || old.Revision < v.Revision {
+			values[v.Name] = v
+		}
+	}
+	for _, name := range a.Deleted {
+		delete(values, name)
+	}
+	set := NewSet(s.Prefix, a.Revision, values)
+	if set.Digest != a.Digest {
+		return nil, fmt.Errorf("%s at revision %d: %w", s.Prefix, a.Revision, ErrTorn)
+	}
+	return set, nil
+}
--- /dev/null
+++ b/node/confsync/handler.go
@@ -0,0 +1,78 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"toucangw.example/core/member"
+	"toucangw.example/core/spread"
+	"toucangw.example/peer"
+)
+
+// errNotRunning is returned to peers before Run and after its end.
+var errNotRunning = errors.New("configuration service is not running")
+
+// HandleExchange answers the Exchange message of another node. The caller has
+// checked the sender with Allowed.
+func (s *Service) HandleExchange(_ context.Context, m *peer.ExchangeRequest) (*peer.ExchangeReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil {
+		return nil, errNotRunning
+	}
+	s.heard(m.GetSender())
+	reply, actions := s.state.HandleExchange(time.Now(), peer.ToExchangeRequest(m))
+	s.do(actions)
+	return peer.FromExchangeReply(reply, s.cfg.Incarnation), nil
+}
+
+// HandlePush answers the Push message of another node. The caller has checked
+// the sender with Allowed.
+func (s *Service) HandlePush(_ context.Context, m *peer.PushRequest) (*peer.PushReply, error) {
+	req, err := peer.ToPushRequest(m)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil {
+		return nil, errNotRunning
+	}
+	s.heard(m.GetSender())
+	reply, actions := s.state.HandlePush(time.Now(), req)
+	s.do(actions)
+	return peer.FromPushReply(reply, s.cfg.Incarnation), nil
+}
+
+func (s *Service) heard(sender *peer.Sender) {
+	s.view.Alive(time.Now(), member.HostID(sender.GetHost()), sender.GetIncarnation())
+	s.viewChanged()
+}
+
+// Allowed reports whether a host may act as a node: it is in the host view and
+// ip is its listed address.
+func (s *Service) Allowed(host string, ip netip.Addr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Allowed(member.HostID(host), ip)
+}
+
+// PeerLeaving records that a host announced that it is leaving.
+func (s *Service) PeerLeaving(host member.HostID, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(spread.FactHeard{Fact: spread.Fact{Host: host, Incarnation: incarnation, Leaving: true}})
+}
+
+// PeerAlive records that a host answered, as seen in this node's own traffic.
+func (s *Service) PeerAlive(host member.HostID, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Alive(time.Now(), host, incarnation)
+	s.viewChanged()
+}
+
+// SelfLeaving announces that this node is leaving.
+func (s *Service) SelfLeaving() { s.PeerLeaving(s.cfg.Self.ID, s.cfg.Incarnation) }
--- a/node/confsync/platform.go
+++ b/node/confsync/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"toucangw.example/core/spread"
 )
 
 const (
@@ -38,6 +41,37 @@
 	Deleted  []string        `json:"deleted"`
 }
 
+// decode converts the answer to the decision type.
+func (a *platformAnswer) decode() (spread.Answer, error) {
+	out := spread.Answer{Revision: a.Revision, Deleted: a.Deleted}
+	if err := decodeSum(&out.Digest, a.Digest); err != nil {
+		return out, fmt.Errorf("platform answer: digest: %w", err)
+	}
+	for _, v := range a.Values {
+		value := spread.Value{Name: v.Name, Revision: v.Revision, Body: []byte(v.Body)}
+		if err := decodeSum(&value.Sum, v.SHA256); err != nil {
+			return out, fmt.Errorf("platform answer: %s: sha256: %w", v.Name, err)
+		}
+		if len(v.Body) > spread.MaxValueBytes {
+			return out, fmt.Errorf("platform answer: %s has %d bytes, at most %d", v.Name, len(v.Body), spread.MaxValueBytes)
+		}
+		out.Values = append(out.Values, value)
+	}
+	return out, nil
+}
+
+func decodeSum(sum *spread.Digest, text string) error {
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return err
+	}
+	if len(raw) != len(sum) {
+		return fmt.Errorf("%d bytes instead of %d", len(raw), len(sum))
+	}
+	copy(sum[:], raw)
+	return nil
+}
+
 // platformClient reads published values. It is safe for concurrent use.
 type platformClient struct {
 	urls   []string
@@ -57,21 +91,21 @@
 // read asks each address in turn, beginning with number first, and returns the
 // first answer.
 func (c *platformClient) read(
-	ctx context.Context, first int, prefix string, after uint64, wait time.Duration,
-) (*platformAnswer, error) {
+	ctx context.Context, first int, r spread.Read,
+) (spread.Answer, error) {
 	if len(c.urls) == 0 {
-		return nil, errors.New("no platform address is set")
+		return spread.Answer{}, errors.New("no platform address is set")
 	}
 	var errs []error
 	for i := range c.urls {
 		base := c.urls[(first+i)%len(c.urls)]
-		answer, err := c.readFrom(ctx, base, prefix, after, wait)
+		answer, err := c.readFrom(ctx, base, r.Prefix, r.After, r.Wait)
 		if err == nil {
-			return answer, nil
+			return answer.decode()
 		}
 		errs = append(errs, err)
 	}
-	return nil, errors.Join(errs...)
+	return spread.Answer{}, errors.Join(errs...)
 }
 
 func (c *platformClient) readFrom(
--- a/node/confsync/service.go
+++ b/node/confsync/service.go
@@ -2,59 +2,53 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"log/slog"
-	"net/netip"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
 	"toucangw.example/core/member"
+	"toucangw.example/core/policy"
+	"toucangw.example/core/spread"
 	"toucangw.example/peer"
 )
 
-const (
-	configPrefix  = "config/"
-	hostsPrefix   = "hosts/"
-	baseName      = configPrefix + "base"
-	overlayPrefix = configPrefix + "overlay/"
+// peerTimeout bounds one message to another node.
+const peerTimeout = time.Second
 
-	watchWait  = 10 * time.Second
-	retryPause = time.Second
-)
-
-// Status is what an operator sees of the service.
-type Status struct {
-	InForce      uint64    `json:"in_force"`                // store revision in force; 0 for none
-	Rejected     uint64    `json:"rejected,omitempty"`      // newest revision that is not valid
-	RejectedWhy  string    `json:"rejected_why,omitempty"`  // its error
-	PlatformAt   time.Time `json:"platform_at"`             // last answer of the platform
-	PlatformErr  string    `json:"platform_err,omitempty"`  // error of the last read
-	HostRevision uint64    `json:"host_revision"`           // store revision of the host lists
-	Hosts        int       `json:"hosts"`                   // hosts on the lists
-	Reader       bool      `json:"reader"`                  // whether this node reads the platform
-	Peers        []PeerRow `json:"peers,omitempty"`         // versions that peers reported last
-	Everywhere   bool      `json:"in_force_at_known_peers"` // all peers heard in the last minute report InForce or higher
-}
-
-// PeerRow is the version that a peer reported.
-type PeerRow struct {
-	Host    member.HostID `json:"host"`
-	InForce uint64        `json:"in_force"`
-	At      time.Time     `json:"at"`
-}
+// seedPrefix marks the ids that stand for seeds, of which only the address is
+// known.
+const seedPrefix = "seed/"
 
 // Service is safe for concurrent use.
 type Service struct {
 	cfg      Config
 	log      *slog.Logger
 	platform *platformClient
+	wake     chan struct{} // holds a token if callbacks are due
+
+	mu       sync.Mutex
+	ctx      context.Context // of Run; nil before
+	workers  sync.WaitGroup
+	state    *spread.State
+	view     member.View
+	seen     uint64 // version of the view that the state knows
+	judge    judge
+	due      callbacks
+	reader   bool // as logged last
+	lastRead platformHealth
+}
+
+// callbacks are the calls that are due.
+type callbacks struct {
+	policy *policy.Policy
+	hosts  bool
+}
 
-	mu     sync.Mutex
-	status Status
-	listed map[member.HostID]member.Host
+type platformHealth struct {
+	at  time.Time // last answer
+	err error     // of the last read
 }
 
 // New returns a service that does nothing until Run.
@@ -63,159 +57,254 @@
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
+	random := rand.New(rand.NewPCG(cfg.Seed, 0))
+	decide := spread.Config{
+		Self:        cfg.Self.ID,
+		Incarnation: cfg.Incarnation,
+		Zone:        cfg.Self.Zone,
+		Random:      random.IntN,
+	}
+	for _, addr := range cfg.Seeds {
+		if addr == cfg.Self.Addr {
+			decide.IsSeed = true
+			continue
+		}
+		decide.Seeds = append(decide.Seeds, member.HostID(seedPrefix+addr))
+	}
 	return &Service{
 		cfg:      cfg,
 		log:      log,
 		platform: newPlatformClient(cfg.PlatformURLs),
-		listed:   map[member.HostID]member.Host{},
+		wake:     make(chan struct{}, 1),
+		state:    spread.New(time.Now(), decide),
+		view:     member.New(),
+		judge:    judge{site: cfg.Site, compile: cfg.Compiler},
 	}
 }
 
-// Run works until ctx ends and then returns nil.
+// Run works until ctx ends and then returns nil. It may be called once.
 func (s *Service) Run(ctx context.Context) error {
-	var group sync.WaitGroup
-	group.Go(func() { s.watch(ctx, configPrefix, s.takeConfig) })
-	group.Go(func() { s.watch(ctx, hostsPrefix, s.takeHosts) })
-	group.Wait()
-	return nil
-}
-
-func (s *Service) watch(ctx context.Context, prefix string, take func(uint64, map[string]string)) {
-	values := map[string]string{}
-	revision := uint64(0)
-	wait := time.Duration(0)
-	for ctx.Err() == nil {
-		answer, err := s.platform.read(ctx, 0, prefix, revision, wait)
-		if err != nil {
-			s.log.Warn("platform read failed", "prefix", prefix, "error", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryPause):
-			}
-			continue
-		}
-		wait = watchWait
-		if answer.Revision <= revision {
-			continue
-		}
-		for _, v := range answer.Values {
-			values[v.Name] = v.Body
-		}
-		for _, name := range answer.Deleted {
-			delete(values, name)
+	s.mu.Lock()
+	s.ctx = ctx
+	s.step(spread.FactHeard{Fact: spread.Fact{Host: s.cfg.Self.ID, Incarnation: s.cfg.Incarnation}})
+	s.mu.Unlock()
+	ticker := time.NewTicker(spread.TickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.stop()
+			return nil
+		case <-ticker.C:
+			s.tick()
+		case <-s.wake:
+			s.callBack()
 		}
-		revision = answer.Revision
-		take(revision, values)
 	}
 }
 
-func (s *Service) takeConfig(revision uint64, values map[string]string) {
-	overlays := map[string][]byte{s.cfg.Site: nil}
-	for name, body := range values {
-		if site, ok := strings.CutPrefix(name, overlayPrefix); ok {
-			overlays[site] = []byte(body)
-		}
-	}
-	policies, err := s.cfg.Compiler(revision, []byte(values[baseName]), overlays)
-	if err == nil && policies[s.cfg.Site] == nil {
-		err = fmt.Errorf("no policy for site %q", s.cfg.Site)
+func (s *Service) stop() {
+	s.mu.Lock()
+	s.ctx = nil
+	s.mu.Unlock()
+	s.workers.Wait()
+	s.platform.client.CloseIdleConnections()
+}
+
+func (s *Service) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Tick(time.Now())
+	s.viewChanged()
+	s.step(spread.Tick{})
+	if reader := s.state.Status().Reader; reader != s.reader {
+		s.reader = reader
+		s.log.Info("platform reader role changed", "reader", reader)
 	}
+}
+
+// callBack makes the calls that are due, without the lock.
+func (s *Service) callBack() {
 	s.mu.Lock()
-	if err != nil {
-		s.status.Rejected = revision
-		s.status.RejectedWhy = err.Error()
-	} else {
-		s.status.InForce = revision
+	due := s.due
+	s.due = callbacks{}
+	var hosts map[string][]member.Host
+	if due.hosts {
+		hosts = s.view.Hosts()
 	}
 	s.mu.Unlock()
-	if err != nil {
-		s.log.Error("configuration rejected", "revision", revision, "error", err)
-		return
+	if due.policy != nil {
+		s.cfg.OnPolicy(due.policy)
 	}
-	s.log.Info("configuration in force", "revision", revision)
-	s.cfg.OnPolicy(policies[s.cfg.Site])
-}
-
-type hostList struct {
-	Zone   string `json:"zone"`
-	Region string `json:"region"`
-	Hosts  []struct {
-		ID          string `json:"id"`
-		Addr        string `json:"addr"`
-		Service     string `json:"service"`
-		Status      string `json:"status"`
-		Incarnation uint64 `json:"incarnation"`
-	} `json:"hosts"`
-}
-
-func (s *Service) takeHosts(revision uint64, values map[string]string) {
-	listed := map[member.HostID]member.Host{}
-	usable := map[string][]member.Host{}
-	for name, body := range values {
-		var list hostList
-		if err := json.Unmarshal([]byte(body), &list); err != nil {
-			s.log.Error("host list rejected", "name", name, "error", err)
-			return
-		}
-		for _, h := range list.Hosts {
-			host := member.Host{
-				ID: member.HostID(h.ID), Addr: h.Addr, Region: list.Region, Zone: list.Zone,
-				Service: h.Service, Incarnation: h.Incarnation,
-			}
-			if h.Status == member.Leaving.String() {
-				host.Status = member.Leaving
-			}
-			listed[host.ID] = host
-			if host.Status == member.Live {
-				usable[host.Service] = append(usable[host.Service], host)
-			}
-		}
+	if due.hosts {
+		s.cfg.OnHosts(hosts)
 	}
-	s.mu.Lock()
-	s.listed = listed
-	s.status.HostRevision = revision
-	s.status.Hosts = len(listed)
-	s.mu.Unlock()
-	s.cfg.OnHosts(usable)
 }
 
-// HandleExchange answers the Exchange message of another node. The caller has
-// checked the sender with Allowed.
-func (s *Service) HandleExchange(context.Context, *peer.ExchangeRequest) (*peer.ExchangeReply, error) {
-	return nil, errors.ErrUnsupported
+func (s *Service) callBackSoon() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
-// HandlePush answers the Push message of another node. The caller has checked
-// the sender with Allowed.
-func (s *Service) HandlePush(context.Context, *peer.PushRequest) (*peer.PushReply, error) {
-	return nil, errors.ErrUnsupported
+// step gives an event to the state and carries out the actions. The caller
+// holds the lock.
+func (s *Service) step(event spread.Event) { s.do(s.state.Step(time.Now(), event)) }
+
+func (s *Service) do(actions []spread.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case spread.Read:
+			s.work(func(ctx context.Context) { s.readPlatform(ctx, a) })
+		case spread.SendExchange:
+			s.sendExchange(a)
+		case spread.SendPush:
+			s.sendPush(a)
+		case spread.Judge:
+			s.work(func(context.Context) { s.judgeSet(a) })
+		case spread.Adopt:
+			s.adopt(a.Set)
+		case spread.LearnFact:
+			s.view.Said(time.Now(), a.Fact.Host, a.Fact.Incarnation, a.Fact.Leaving)
+			s.viewChanged()
+		}
+	}
 }
 
-// Allowed reports whether a host may act as a node: it is on the list and ip is
-// its listed address.
-func (s *Service) Allowed(host string, ip netip.Addr) bool {
+// work starts a goroutine that ends with Run. The caller holds the lock.
+func (s *Service) work(run func(context.Context)) {
+	ctx := s.ctx
+	if ctx == nil {
+		return
+	}
+	s.workers.Go(func() { run(ctx) })
+}
+
+// finish gives the result of work to the state, unless Run has ended.
+func (s *Service) finish(event spread.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed, ok := s.listed[member.HostID(host)]
+	if s.ctx != nil {
+		s.step(event)
+	}
+}
+
+func (s *Service) readPlatform(ctx context.Context, r spread.Read) {
+	answer, err := s.platform.read(ctx, int(s.cfg.Seed%1024), r)
+	s.mu.Lock()
+	failed := s.lastRead.err != nil
+	s.lastRead.err = err
+	if err == nil {
+		s.lastRead.at = time.Now()
+	}
+	s.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return
+	case err != nil:
+		if !failed {
+			s.log.Warn("platform cannot be read", "prefix", r.Prefix, "error", err)
+		}
+		s.finish(spread.PlatformFailed{Prefix: r.Prefix})
+		return
+	case failed:
+		s.log.Info("platform answers again", "prefix", r.Prefix, "revision", answer.Revision)
+	}
+	s.finish(spread.PlatformRead{Prefix: r.Prefix, After: r.After, Answer: answer})
+}
+
+func (s *Service) host(id member.HostID) (member.Host, bool) {
+	if addr, ok := strings.CutPrefix(string(id), seedPrefix); ok {
+		return member.Host{Addr: addr}, true
+	}
+	return s.view.Host(id)
+}
+
+func (s *Service) sendExchange(a spread.SendExchange) {
+	host, ok := s.host(a.To)
 	if !ok {
-		return false
+		return
 	}
-	addr, err := netip.ParseAddrPort(listed.Addr)
-	return err == nil && addr.Addr() == ip.Unmap()
+	m := peer.FromExchangeRequest(a.Request, s.cfg.Incarnation)
+	s.work(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		answer, err := s.cfg.Peers.Exchange(ctx, host, m)
+		if err != nil {
+			s.finish(spread.PeerFailed{Peer: a.To})
+			return
+		}
+		reply, err := peer.ToExchangeReply(answer)
+		if err != nil {
+			s.log.Warn("exchange reply discarded", "host", a.To, "error", err)
+			s.finish(spread.PeerFailed{Peer: a.To})
+			return
+		}
+		s.PeerAlive(a.To, answer.GetIncarnation())
+		s.finish(spread.ExchangeReplied{From: a.To, Reply: reply})
+	})
 }
 
-// PeerLeaving records that a host announced that it is leaving.
-func (s *Service) PeerLeaving(member.HostID, uint64) {}
+func (s *Service) sendPush(a spread.SendPush) {
+	host, ok := s.host(a.To)
+	if !ok {
+		return
+	}
+	m := peer.FromPushRequest(a.Request, s.cfg.Incarnation)
+	s.work(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		answer, err := s.cfg.Peers.Push(ctx, host, m)
+		if err != nil {
+			s.finish(spread.PeerFailed{Peer: a.To})
+			return
+		}
+		s.PeerAlive(a.To, answer.GetIncarnation())
+		s.finish(spread.PushReplied{From: a.To, Reply: peer.ToPushReply(answer), Second: a.Second})
+	})
+}
 
-// PeerAlive records that a host answered, as seen in this node's own traffic.
-func (s *Service) PeerAlive(member.HostID, uint64) {}
+// judgeSet runs without the lock: compiling takes a while.
+func (s *Service) judgeSet(a spread.Judge) {
+	event := spread.Judged{Prefix: a.Set.Prefix, Revision: a.Set.Revision}
+	err := s.judge.check(a.Set, a.All)
+	if err != nil {
+		event.Reason = err.Error()
+		s.log.Error("values rejected", "prefix", a.Set.Prefix, "revision", a.Set.Revision, "error", err)
+	}
+	s.finish(event)
+}
 
-// SelfLeaving announces that this node is leaving.
-func (s *Service) SelfLeaving() {}
+func (s *Service) adopt(set *spread.Set) {
+	if set.Prefix == spread.ConfigPrefix {
+		s.log.Info("configuration in force", "revision", set.Revision)
+		s.due.policy = s.judge.adoptConfig(set)
+		s.callBackSoon()
+		return
+	}
+	s.log.Info("host lists in force", "revision", set.Revision)
+	for _, list := range s.judge.adoptLists(set) {
+		s.view.SetList(time.Now(), list)
+	}
+	if zones := s.view.Distrusted(); len(zones) > 0 {
+		s.log.Warn("host lists held back: they drop most hosts, of which some answer", "zones", zones)
+	}
+	s.viewChanged()
+}
 
-// Status returns what an operator sees.
-func (s *Service) Status() Status {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.status
+// viewChanged hands a changed host view to the state and the runtime.
+func (s *Service) viewChanged() {
+	if s.view.Version() == s.seen {
+		return
+	}
+	s.seen = s.view.Version()
+	hosts := s.view.Nodes()
+	nodes := make([]spread.Node, 0, len(hosts))
+	for _, h := range hosts {
+		nodes = append(nodes, spread.Node{ID: h.ID, Zone: h.Zone})
+	}
+	s.due.hosts = true
+	s.callBackSoon()
+	s.step(spread.NodesChanged{Nodes: nodes})
 }
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,222 @@
+// Package peer holds the messages between nodes, and their conversion to and
+// from the types that core decides on.
+package peer
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math"
+	"time"
+
+	"toucangw.example/core/member"
+	"toucangw.example/core/spread"
+)
+
+// FromExchangeRequest converts the decision type to the message.
+func FromExchangeRequest(r *spread.ExchangeRequest, incarnation uint64) *ExchangeRequest {
+	return &ExchangeRequest{
+		Sender: &Sender{Host: string(r.From), Incarnation: incarnation},
+		Sets:   fromSets(r.Sets),
+		Facts:  r.Facts,
+		Sign:   fromSign(r.Sign),
+	}
+}
+
+// ToExchangeRequest converts the message to the decision type.
+func ToExchangeRequest(m *ExchangeRequest) *spread.ExchangeRequest {
+	return &spread.ExchangeRequest{
+		From:  member.HostID(m.GetSender().GetHost()),
+		Sets:  toSets(m.GetSets()),
+		Facts: m.GetFacts(),
+		Sign:  toSign(m.GetSign()),
+	}
+}
+
+// FromExchangeReply converts the decision type to the message.
+func FromExchangeReply(r *spread.ExchangeReply, incarnation uint64) *ExchangeReply {
+	return &ExchangeReply{
+		Sets:        fromSets(r.Sets),
+		Updates:     fromUpdates(r.Updates),
+		FactsDigest: r.Digest,
+		Facts:       fromFacts(r.Facts),
+		Sign:        fromSign(r.Sign),
+		Incarnation: incarnation,
+	}
+}
+
+// ToExchangeReply converts the message to the decision type.
+func ToExchangeReply(m *ExchangeReply) (*spread.ExchangeReply, error) {
+	updates, err := toUpdates(m.GetUpdates())
+	if err != nil {
+		return nil, err
+	}
+	return &spread.ExchangeReply{
+		Sets:    toSets(m.GetSets()),
+		Updates: updates,
+		Digest:  m.GetFactsDigest(),
+		Facts:   toFacts(m.GetFacts()),
+		Sign:    toSign(m.GetSign()),
+	}, nil
+}
+
+// FromPushRequest converts the decision type to the message.
+func FromPushRequest(r *spread.PushRequest, incarnation uint64) *PushRequest {
+	return &PushRequest{
+		Sender:  &Sender{Host: string(r.From), Incarnation: incarnation},
+		Updates: fromUpdates(r.Updates),
+		Facts:   fromFacts(r.Facts),
+		Sign:    fromSign(r.Sign),
+	}
+}
+
+// ToPushRequest converts the message to the decision type.
+func ToPushRequest(m *PushRequest) (*spread.PushRequest, error) {
+	updates, err := toUpdates(m.GetUpdates())
+	if err != nil {
+		return nil, err
+	}
+	return &spread.PushRequest{
+		From:    member.HostID(m.GetSender().GetHost()),
+		Updates: updates,
+		Facts:   toFacts(m.GetFacts()),
+		Sign:    toSign(m.GetSign()),
+	}, nil
+}
+
+// FromPushReply converts the decision type to the message.
+func FromPushReply(r *spread.PushReply, incarnation uint64) *PushReply {
+	return &PushReply{Sets: fromSets(r.Sets), Incarnation: incarnation}
+}
+
+// ToPushReply converts the message to the decision type.
+func ToPushReply(m *PushReply) *spread.PushReply {
+	return &spread.PushReply{Sets: toSets(m.GetSets())}
+}
+
+func fromSets(sets []spread.SetVersion) []*SetVersion {
+	out := make([]*SetVersion, 0, len(sets))
+	for _, s := range sets {
+		out = append(out, &SetVersion{
+			Prefix: s.Prefix, InForce: s.InForce, Held: s.Held, Versions: fromVersions(s.Versions),
+		})
+	}
+	return out
+}
+
+func toSets(sets []*SetVersion) []spread.SetVersion {
+	out := make([]spread.SetVersion, 0, len(sets))
+	for _, s := range sets {
+		out = append(out, spread.SetVersion{
+			Prefix: s.GetPrefix(), InForce: s.GetInForce(), Held: s.GetHeld(), Versions: toVersions(s.GetVersions()),
+		})
+	}
+	return out
+}
+
+func fromVersions(versions []spread.Version) []*Version {
+	out := make([]*Version, 0, len(versions))
+	for _, v := range versions {
+		out = append(out, &Version{Name: v.Name, Revision: v.Revision})
+	}
+	return out
+}
+
+// toVersions returns nil for an empty list: a list asks for whole values.
+func toVersions(versions []*Version) []spread.Version {
+	var out []spread.Version
+	for _, v := range versions {
+		out = append(out, spread.Version{Name: v.GetName(), Revision: v.GetRevision()})
+	}
+	return out
+}
+
+func fromUpdates(updates []spread.Update) []*SetUpdate {
+	out := make([]*SetUpdate, 0, len(updates))
+	for _, u := range updates {
+		m := &SetUpdate{
+			Prefix: u.Prefix, From: u.From, To: u.To, Digest: u.Digest[:],
+			Versions: fromVersions(u.Versions), Removed: u.Removed,
+		}
+		for _, d := range u.Deltas {
+			m.Deltas = append(m.Deltas, &Delta{
+				Name: d.Name, FromRevision: d.From, ToRevision: d.To,
+				Prefix: uint32(d.Prefix), Suffix: uint32(d.Suffix),
+				Body: d.Body, Compressed: d.Compressed, Sha256: d.Sum[:],
+			})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func toUpdates(updates []*SetUpdate) ([]spread.Update, error) {
+	var out []spread.Update
+	for _, m := range updates {
+		u := spread.Update{
+			Prefix: m.GetPrefix(), From: m.GetFrom(), To: m.GetTo(),
+			Versions: toVersions(m.GetVersions()), Removed: m.GetRemoved(),
+		}
+		if len(m.GetDigest()) != sha256.Size {
+			return nil, fmt.Errorf("update of %s: digest has %d bytes", u.Prefix, len(m.GetDigest()))
+		}
+		copy(u.Digest[:], m.GetDigest())
+		for _, d := range m.GetDeltas() {
+			delta, err := toDelta(d)
+			if err != nil {
+				return nil, err
+			}
+			u.Deltas = append(u.Deltas, delta)
+		}
+		out = append(out, u)
+	}
+	return out, nil
+}
+
+func toDelta(d *Delta) (spread.Delta, error) {
+	out := spread.Delta{
+		Name: d.GetName(), From: d.GetFromRevision(), To: d.GetToRevision(),
+		Prefix: int(d.GetPrefix()), Suffix: int(d.GetSuffix()),
+		Body: d.GetBody(), Compressed: d.GetCompressed(),
+	}
+	if len(d.GetSha256()) != sha256.Size {
+		return out, fmt.Errorf("delta of %s: hash has %d bytes", out.Name, len(d.GetSha256()))
+	}
+	copy(out.Sum[:], d.GetSha256())
+	return out, nil
+}
+
+func fromFacts(facts []spread.Fact) []*HostFact {
+	out := make([]*HostFact, 0, len(facts))
+	for _, f := range facts {
+		out = append(out, &HostFact{
+			Host: string(f.Host), Incarnation: f.Incarnation, Leaving: f.Leaving, AgeMs: millis(f.Age),
+		})
+	}
+	return out
+}
+
+func toFacts(facts []*HostFact) []spread.Fact {
+	var out []spread.Fact
+	for _, f := range facts {
+		out = append(out, spread.Fact{
+			Host: member.HostID(f.GetHost()), Incarnation: f.GetIncarnation(), Leaving: f.GetLeaving(),
+			Age: time.Duration(f.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+func fromSign(s spread.Sign) *ReaderSign {
+	return &ReaderSign{Zone: s.Zone, Reader: string(s.Reader), AgeMs: millis(s.Age)}
+}
+
+func toSign(s *ReaderSign) spread.Sign {
+	return spread.Sign{
+		Zone: s.GetZone(), Reader: member.HostID(s.GetReader()),
+		Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
+	}
+}
+
+func millis(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,208 @@
+package platform
+
+import (
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxWait bounds the time that a watch may ask to wait.
+const MaxWait = time.Minute
+
+// Run looks at the directory for changes until ctx ends. Errors of a look, as
+// while a file is being replaced, are passed to report and do not end it.
+func (p *Platform) Run(ctx context.Context, report func(error)) {
+	ticker := time.NewTicker(p.cfg.Rescan)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := p.Scan(); err != nil {
+				report(err)
+			}
+		}
+	}
+}
+
+// Handler serves the protocol of the platform and, under /control, the
+// switches for failures.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values", p.serveValues)
+	mux.HandleFunc("GET /control", p.serveStats)
+	mux.HandleFunc("POST /control", p.serveControl)
+	return mux
+}
+
+func (p *Platform) serveValues(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	after, err := parseAfter(r.URL.Query().Get("after"))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "after", err)
+		return
+	}
+	wait, err := parseWait(r.URL.Query().Get("wait"))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "wait", err)
+		return
+	}
+	answer, err := p.read(r.Context(), prefix, after, wait)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, "platform", err)
+		return
+	}
+	writeJSON(w, r, answer)
+}
+
+func parseAfter(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a revision", text)
+	}
+	return n, nil
+}
+
+func parseWait(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || seconds < 0 || seconds > MaxWait.Seconds() {
+		return 0, fmt.Errorf("%q is not a number of seconds from 0 to %.0f", text, MaxWait.Seconds())
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// errDown is the answer while the platform is switched off.
+var errDown = fmt.Errorf("switched off by /control")
+
+// read answers when there is a newer change, when the wait ends, or at once
+// while the platform is down.
+func (p *Platform) read(ctx context.Context, prefix string, after uint64, wait time.Duration) (Answer, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	p.mu.Lock()
+	p.reads++
+	p.waiting++
+	defer func() {
+		p.waiting--
+		p.mu.Unlock()
+	}()
+	expired := wait == 0
+	for {
+		if p.faults.Down {
+			p.refused++
+			return Answer{}, errDown
+		}
+		if source := p.source(); expired || source.changed(prefix) > after {
+			return p.finish(ctx, source.answer(prefix, after))
+		}
+		notify := p.notify
+		p.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			expired = true
+		case <-timer.C:
+			expired = true
+		case <-notify:
+		}
+		p.mu.Lock()
+	}
+}
+
+func (p *Platform) source() *store {
+	if p.frozen != nil {
+		return p.frozen
+	}
+	return p.store
+}
+
+// finish applies the failures that change an answer.
+func (p *Platform) finish(ctx context.Context, a Answer) (Answer, error) {
+	if p.faults.Torn && len(a.Values) > 0 {
+		v := &a.Values[0]
+		v.Body = v.Body[:len(v.Body)/2]
+	}
+	delay := p.faults.Delay
+	if delay == 0 {
+		return a, nil
+	}
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	select {
+	case <-ctx.Done():
+		return a, ctx.Err()
+	case <-time.After(delay):
+		return a, nil
+	}
+}
+
+func (p *Platform) serveStats(w http.ResponseWriter, r *http.Request) { writeJSON(w, r, p.Stats()) }
+
+// serveControl sets all failures from the form values down, stale, torn
+// (booleans) and delay (a duration); those left out are switched off.
+func (p *Platform) serveControl(w http.ResponseWriter, r *http.Request) {
+	faults, err := parseFaults(r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "control", err)
+		return
+	}
+	p.SetFaults(faults)
+	writeJSON(w, r, p.Stats())
+}
+
+func parseFaults(r *http.Request) (Faults, error) {
+	var f Faults
+	if err := r.ParseForm(); err != nil {
+		return f, err
+	}
+	for key, values := range r.Form {
+		var err error
+		text := values[0]
+		switch key {
+		case "down":
+			f.Down, err = strconv.ParseBool(text)
+		case "stale":
+			f.Stale, err = strconv.ParseBool(text)
+		case "torn":
+			f.Torn, err = strconv.ParseBool(text)
+		case "delay":
+			f.Delay, err = time.ParseDuration(text)
+		default:
+			err = fmt.Errorf("unknown; known are down, stale, torn, delay")
+		}
+		if err != nil {
+			return f, fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	return f, nil
+}
+
+func writeError(w http.ResponseWriter, status int, what string, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": what + ": " + err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, r *http.Request, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	var out io.Writer = w
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		packed := gzip.NewWriter(w)
+		defer func() { _ = packed.Close() }()
+		out = packed
+	}
+	_ = json.NewEncoder(out).Encode(body)
+}
