Test dissemination and the host view under failures; stand-in platform

Cause: operator races, stale or absent platform, pauses, partitions, dying readers and lagging lists must not bring back an older version or a leaving host.

--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,175 @@
+package member
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
+
+func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+// listed returns a list of the hosts h<from> to h<to-1> of one service.
+func listed(from, to int) List {
+	list := List{Zone: "a"}
+	for i := from; i < to; i++ {
+		list.Hosts = append(list.Hosts, Host{
+			ID: HostID(fmt.Sprintf("h%d", i)), Addr: fmt.Sprintf("10.0.0.%d:7000", i+1), Zone: "a", Service: "ledger",
+		})
+	}
+	return list
+}
+
+func usable(v View) int { return len(v.Hosts()["ledger"]) }
+
+// Guards a host that said it is leaving against a late list, also after a list
+// without it, and lets its next process back in.
+func TestLeavingIsSticky(t *testing.T) {
+	v := New()
+	v.SetList(at(0), listed(0, 4))
+	v.Alive(at(1), "h1", 10)
+	v.Said(at(2), "h1", 10, true)
+	require.Equal(t, 3, usable(v))
+	v.SetList(at(3), listed(0, 4))
+	require.Equal(t, 3, usable(v), "a late list brought it back")
+	v.Alive(at(4), "h1", 10)
+	require.Equal(t, 3, usable(v), "an answer of the leaving process brought it back")
+	v.Said(at(4), "h1", 9, false)
+	require.Equal(t, 3, usable(v), "an older process brought it back")
+	require.True(t, v.Allowed("h1", netip.MustParseAddr("10.0.0.2")), "it may still finish its work")
+
+	shorter := listed(0, 4)
+	shorter.Hosts = append(shorter.Hosts[:1], shorter.Hosts[2:]...)
+	v.SetList(at(60), shorter)
+	v.SetList(at(61), listed(0, 4))
+	require.Equal(t, 3, usable(v), "a list without it and a late one brought it back")
+
+	v.Said(at(70), "h1", 11, false)
+	require.Equal(t, 4, usable(v))
+	h, _ := v.Host("h1")
+	require.Equal(t, uint64(11), h.Incarnation)
+}
+
+// Guards what a host says before the list that names it arrives.
+func TestSaidBeforeListed(t *testing.T) {
+	v := New()
+	v.Said(at(0), "h1", 5, true)
+	v.SetList(at(1), listed(0, 4))
+	require.Equal(t, 3, usable(v))
+}
+
+// Guards against a list that still shows the previous process of a replaced
+// host as leaving.
+func TestListLeavingEndsWithNewProcess(t *testing.T) {
+	v := New()
+	v.SetList(at(0), listed(0, 2))
+	v.Alive(at(1), "h0", 10)
+	late := listed(0, 2)
+	late.Hosts[0].Status = Leaving
+	v.SetList(at(2), late)
+	require.Equal(t, 1, usable(v))
+	v.Alive(at(3), "h0", 11)
+	require.Equal(t, 2, usable(v))
+	v.SetList(at(4), late)
+	require.Equal(t, 2, usable(v))
+}
+
+// Guards a host that was replaced under another id at the same address.
+func TestReplacedHostAtSameAddress(t *testing.T) {
+	v := New()
+	list := listed(0, 2)
+	list.Hosts[1].Addr = list.Hosts[0].Addr
+	v.SetList(at(0), list)
+	v.Alive(at(1), "h0", 10)
+	v.Alive(at(2), "h1", 20)
+	require.Equal(t, []Host{{
+		ID: "h1", Addr: "10.0.0.1:7000", Zone: "a", Service: "ledger", Incarnation: 20,
+	}}, v.Hosts()["ledger"])
+}
+
+// Guards the view against an empty and a halved list while missing hosts
+// answer, and takes the list once they fall silent.
+func TestShortListIsNotTrustedWhileTrafficContradicts(t *testing.T) {
+	for _, left := range []int{0, 4} {
+		v := New()
+		v.SetList(at(0), listed(0, 10))
+		for i := range 10 {
+			v.Alive(at(1), HostID(fmt.Sprintf("h%d", i)), 1)
+		}
+		v.SetList(at(2), listed(0, left))
+		require.Equal(t, 10, usable(v))
+		require.Equal(t, []string{"a"}, v.Distrusted())
+		for s := 3; s < 60; s++ {
+			v.Alive(at(s), "h9", 1)
+			v.Tick(at(s))
+		}
+		require.Equal(t, 10, usable(v), "one of the missing hosts still answers")
+		for s := 60; s < 95; s++ {
+			v.Tick(at(s))
+		}
+		require.Equal(t, left, usable(v))
+		require.Empty(t, v.Distrusted())
+	}
+}
+
+// Guards against a short list holding on to hosts that nobody hears of.
+func TestShortListIsTrustedWithoutTraffic(t *testing.T) {
+	v := New()
+	v.SetList(at(0), listed(0, 10))
+	v.SetList(at(60), listed(0, 2))
+	require.Equal(t, 2, usable(v))
+}
+
+// Guards single hosts missing from a list: those that answer stay until they
+// fall silent, others go at once.
+func TestMissingHostStaysWhileItAnswers(t *testing.T) {
+	v := New()
+	v.SetList(at(0), listed(0, 10))
+	v.Alive(at(50), "h0", 1)
+	v.SetList(at(51), listed(2, 10))
+	require.Equal(t, 9, usable(v))
+	require.True(t, v.Allowed("h0", netip.MustParseAddr("10.0.0.1")))
+	require.False(t, v.Allowed("h1", netip.MustParseAddr("10.0.0.2")))
+	v.Tick(at(82))
+	require.Equal(t, 8, usable(v))
+	require.False(t, v.Allowed("h0", netip.MustParseAddr("10.0.0.1")))
+}
+
+// Guards a host that moves to another zone.
+func TestHostMovesToAnotherZone(t *testing.T) {
+	v := New()
+	v.SetList(at(0), listed(0, 4))
+	moved := List{Zone: "b", Hosts: []Host{{ID: "h3", Addr: "10.1.0.1:7000", Zone: "b", Service: "ledger"}}}
+	v.SetList(at(1), moved)
+	v.SetList(at(2), listed(0, 3))
+	v.Tick(at(9))
+	h, ok := v.Host("h3")
+	require.True(t, ok)
+	require.Equal(t, "b", h.Zone)
+	require.Equal(t, 4, usable(v))
+}
+
+func TestParseList(t *testing.T) {
+	good := `{"zone":"a","region":"r","hosts":[{"id":"h1","addr":"10.0.0.1:7000","service":"ledger","status":"leaving"}]}`
+	list, err := ParseList("hosts/a", []byte(good))
+	require.NoError(t, err)
+	require.Equal(t, Host{
+		ID: "h1", Addr: "10.0.0.1:7000", Region: "r", Zone: "a", Service: "ledger", Status: Leaving,
+	}, list.Hosts[0])
+	bad := map[string]string{
+		`{`:                         "unexpected end",
+		`{"zone":"b","hosts":[]}`:   `zone is "b"`,
+		`{"zone":"a","hosts":[{}]}`: "id is empty",
+		`{"zone":"a","hosts":[{"id":"x","addr":"name:1"}]}`:                                  "not IP:port",
+		`{"zone":"a","hosts":[{"id":"x","addr":"1.2.3.4:1","status":"?"}]}`:                  "unknown status",
+		`{"zone":"a","hosts":[{"id":"x","addr":"1.2.3.4:1"},{"id":"x","addr":"1.2.3.4:1"}]}`: "listed twice",
+	}
+	for body, want := range bad {
+		_, err := ParseList("hosts/a", []byte(body))
+		require.ErrorContains(t, err, want, body)
+	}
+}
--- a/core/spread/spreadtest/deliver.go
+++ b/core/spread/spreadtest/deliver.go
@@ -89,6 +89,10 @@
 			return
 		}
 		answer := func(a spread.Answer) {
+			if n.fleet.PlatformCut != nil && n.fleet.PlatformCut(n) {
+				n.later(peerTimeout, fail)
+				return
+			}
 			n.later(clientLatency, func() { n.step(spread.PlatformRead{Prefix: r.Prefix, After: r.After, Answer: a}) })
 		}
 		n.fleet.Platform.read(r, n.fleet.After, answer, fail)
