--- /dev/null
+++ b/node/driver/calls.go
@@ -0,0 +1,142 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"toucangw.example/core/engine"
+	"toucangw.example/core/member"
+	"toucangw.example/core/once"
+	"toucangw.example/core/verdict"
+
+	"toucangw.example/core/call"
+)
+
+// ErrGone means that the sender of a call went away before it ended.
+var ErrGone = errors.New("the sender went away")
+
+// KeyState is the state of a once-only key at its owner.
+type KeyState struct {
+	State  once.State
+	Answer *call.Answer // set when the state is Done
+}
+
+// Call runs the request of a caller or of the local upstream. It returns nil
+// when ctx ended first. ID is assigned here.
+func (d *Driver) Call(ctx context.Context, arrived engine.CallArrived, p Payload) *engine.AnswerCaller {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	arrived.ID = d.newID()
+	e := &entry{
+		service: arrived.Service,
+		started: d.cfg.Now(),
+		result:  make(chan any, 1),
+		run: Run{
+			Method:    arrived.Method,
+			Path:      arrived.Path,
+			RequestID: arrived.RequestID,
+			Caller:    arrived.Caller,
+			Key:       arrived.Key,
+			Payload:   p,
+		},
+	}
+	d.start(arrived.ID, e, arrived)
+	answer, ok := d.wait(ctx, arrived.ID, e).(engine.AnswerCaller)
+	if !ok {
+		return nil
+	}
+	return &answer
+}
+
+// PeerCall runs a call from another node, or from this one. It returns nil
+// when ctx ended first.
+func (d *Driver) PeerCall(ctx context.Context, from member.HostID, c engine.PeerCall, p Payload) *engine.Reply {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	id := d.newID()
+	now := d.cfg.Now()
+	e := &entry{
+		peerCall: true,
+		service:  c.Service,
+		started:  now,
+		expires:  now.Add(c.Remaining),
+		result:   make(chan any, 1),
+		run: Run{
+			Method:     c.Method,
+			Path:       c.Path,
+			RequestID:  c.RequestID,
+			Caller:     c.Caller,
+			Key:        c.Key,
+			Idempotent: c.Idempotent,
+			Payload:    p,
+		},
+	}
+	d.start(id, e, engine.PeerCallArrived{ID: id, From: from, Call: c})
+	answer, ok := d.wait(ctx, id, e).(engine.AnswerPeer)
+	if !ok {
+		return nil
+	}
+	return &answer.Reply
+}
+
+// IssueKey makes a key owned by this node.
+func (d *Driver) IssueKey(ctx context.Context, service, caller string) (string, *verdict.Refusal) {
+	id := d.newID()
+	e := &entry{result: make(chan any, 1), started: d.cfg.Now()}
+	d.start(id, e, engine.KeyRequested{ID: id, Service: service, Caller: caller})
+	answer, ok := d.wait(ctx, id, e).(engine.AnswerKey)
+	if !ok {
+		return "", verdict.Refuse(verdict.Cancelled, ErrGone.Error())
+	}
+	return answer.Key, answer.Refusal
+}
+
+// LocalKey returns the state of a key of this node.
+func (d *Driver) LocalKey(ctx context.Context, key, caller string, fence bool) (KeyState, error) {
+	id := d.newID()
+	e := &entry{result: make(chan any, 1), started: d.cfg.Now()}
+	d.start(id, e, engine.KeyAsked{ID: id, Key: key, Caller: caller, Fence: fence})
+	answer, ok := d.wait(ctx, id, e).(engine.AnswerState)
+	if !ok {
+		return KeyState{}, ErrGone
+	}
+	return KeyState{State: answer.State, Answer: answer.Answer}, nil
+}
+
+// Key returns the state of a key, wherever its owner is. The owner is read
+// from the key by the caller of this function.
+func (d *Driver) Key(ctx context.Context, owner member.HostID, key, caller string, fence bool) (KeyState, error) {
+	if owner == d.cfg.Self {
+		return d.LocalKey(ctx, key, caller, fence)
+	}
+	d.mu.Lock()
+	host, known := d.hosts[owner]
+	d.mu.Unlock()
+	if !known {
+		return KeyState{}, errors.New("the owner of the key is not on the host list")
+	}
+	return d.cfg.Peers.QueryKey(ctx, host, key, caller, fence)
+}
+
+// requestKey asks for a key on behalf of the engine.
+func (d *Driver) requestKey(a engine.RequestKey) {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
+	defer cancel()
+	issued := engine.KeyIssued{ID: a.ID}
+	if a.Host.ID == d.cfg.Self {
+		issued.Key, issued.Refusal = d.IssueKey(ctx, a.Service, a.Caller)
+	} else {
+		issued.Key, issued.Refusal = d.cfg.Peers.IssueKey(ctx, a.Host, a.Service, a.Caller)
+	}
+	d.Step(issued)
+}
+
+// Tick lets time pass and forgets what is over.
+func (d *Driver) Tick(gap time.Duration) {
+	if gap > 0 {
+		d.Step(engine.Woke{Gap: gap})
+	}
+	d.Step(engine.Tick{})
+	d.Sweep(d.cfg.Now())
+}
--- /dev/null
+++ b/node/httpapi/api.go
@@ -0,0 +1,95 @@
+// Package httpapi serves callers and, on loopback, the local upstream over
+// HTTP.
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"toucangw.example/core/engine"
+	"toucangw.example/core/member"
+	"toucangw.example/core/once"
+	"toucangw.example/core/verdict"
+	"toucangw.example/node/driver"
+)
+
+// Headers between callers and nodes.
+const (
+	HeaderCaller       = "Toucangw-Caller"
+	HeaderRequestID    = "X-Request-Id"
+	HeaderAttempt      = "Toucangw-Attempt"
+	HeaderTimeout      = "Toucangw-Timeout-Ms"
+	HeaderKey          = "Idempotency-Key"
+	HeaderContext      = "Toucangw-Context"
+	HeaderVerdict      = "Toucangw-Verdict"
+	HeaderReason       = "Toucangw-Reason"
+	HeaderRetryAfter   = "Retry-After"
+	HeaderRetryAfterMs = "Toucangw-Retry-After-Ms"
+	HeaderKeyState     = "Toucangw-Key-State"
+)
+
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	keyTimeout        = 2 * time.Second
+)
+
+// Calls runs calls and answers questions about keys.
+type Calls interface {
+	Call(ctx context.Context, arrived engine.CallArrived, p driver.Payload) *engine.AnswerCaller
+	Key(ctx context.Context, owner member.HostID, key, caller string, fence bool) (driver.KeyState, error)
+}
+
+// Refusals keeps recent refusals for operators.
+type Refusals interface {
+	Refused(requestID, service, caller string, r *verdict.Refusal)
+}
+
+// Config lists what the API needs.
+type Config struct {
+	Calls    Calls
+	Refusals Refusals
+	// MaxBody returns the present bound of request bodies.
+	MaxBody func() int64
+	// Owner reads the owner from a key.
+	Owner func(key string) (once.Owner, error)
+	// Egress makes the API of the local upstream instead of that of callers.
+	Egress bool
+}
+
+type api struct{ cfg Config }
+
+// NewServer returns an HTTP server without listener.
+func NewServer(cfg Config) (*http.Server, error) {
+	a := &api{cfg: cfg}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutServerError(iris.ErrServerClosed), iris.WithoutBodyConsumptionOnUnmarshal,
+		iris.WithoutStartupLog, iris.WithoutPathCorrection)
+	if !cfg.Egress {
+		app.Get("/.toucangw/keys/{key:path}", a.queryKey)
+		app.Delete("/.toucangw/keys/{key:path}", a.cancelKey)
+	}
+	app.Any("/{service:string}", a.call)
+	app.Any("/{service:string}/{path:path}", a.call)
+	app.OnErrorCode(http.StatusNotFound, a.notFound)
+	app.OnErrorCode(http.StatusMethodNotAllowed, a.notFound)
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return &http.Server{
+		Handler:           app,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}, nil
+}
+
+func (a *api) notFound(ctx iris.Context) {
+	r := verdict.Refuse(verdict.BadRequest, "the path has the form /<service>/<path>")
+	a.refuse(ctx, requestID(ctx), r, "", http.StatusNotFound)
+}
--- /dev/null
+++ b/node/httpapi/call.go
@@ -0,0 +1,179 @@
+package httpapi
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/kataras/iris/v12"
+
+	"toucangw.example/core/call"
+	"toucangw.example/core/engine"
+	"toucangw.example/core/verdict"
+	"toucangw.example/node/driver"
+)
+
+// Bounds of single header values.
+const (
+	maxCaller    = 256
+	maxRequestID = 256
+	maxKey       = 2 << 10
+	maxTimeout   = 10 * time.Minute
+)
+
+func requestID(ctx iris.Context) string {
+	id := ctx.GetHeader(HeaderRequestID)
+	if id != "" && len(id) <= maxRequestID {
+		return id
+	}
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+// call runs one request.
+func (a *api) call(ctx iris.Context) {
+	id := requestID(ctx)
+	arrived, err := a.parse(ctx, id)
+	if err != nil {
+		a.refuse(ctx, id, verdict.Refuse(verdict.BadRequest, err.Error()), "", http.StatusBadRequest)
+		return
+	}
+	body, status, err := a.readBody(ctx)
+	if err != nil {
+		a.refuse(ctx, id, verdict.Refuse(verdict.BadRequest, err.Error()), "", status)
+		return
+	}
+	arrived.Digest = digest(arrived.Method, arrived.Path, body)
+	payload := driver.Payload{ContentType: ctx.GetHeader("Content-Type"), Body: body}
+	end := a.cfg.Calls.Call(ctx.Request().Context(), arrived, payload)
+	switch {
+	case end == nil:
+		ctx.StatusCode(http.StatusBadGateway) // nobody reads it
+	case end.Answer != nil:
+		writeAnswer(ctx, id, end.Answer)
+	default:
+		a.cfg.Refusals.Refused(id, arrived.Service, arrived.Caller, end.Refusal)
+		a.refuse(ctx, id, end.Refusal, end.Key, Status(end.Refusal))
+	}
+}
+
+func (a *api) parse(ctx iris.Context, id string) (engine.CallArrived, error) {
+	arrived := engine.CallArrived{
+		Egress:    a.cfg.Egress,
+		Method:    ctx.Method(),
+		Caller:    ctx.GetHeader(HeaderCaller),
+		RequestID: id,
+		Key:       ctx.GetHeader(HeaderKey),
+	}
+	if a.cfg.Egress {
+		arrived.Token = ctx.GetHeader(HeaderContext)
+	}
+	if given := ctx.GetHeader(HeaderRequestID); len(given) > maxRequestID {
+		return arrived, fmt.Errorf("%s has %d bytes, above the limit of %d", HeaderRequestID, len(given), maxRequestID)
+	}
+	if len(arrived.Caller) > maxCaller {
+		return arrived, fmt.Errorf("%s has %d bytes, above the limit of %d", HeaderCaller, len(arrived.Caller), maxCaller)
+	}
+	if len(arrived.Key) > maxKey {
+		return arrived, fmt.Errorf("%s has %d bytes, above the limit of %d", HeaderKey, len(arrived.Key), maxKey)
+	}
+	arrived.Service, arrived.Path = splitPath(ctx.Request().URL.RequestURI())
+	attempt, err := number(ctx, HeaderAttempt)
+	if err != nil {
+		return arrived, err
+	}
+	arrived.Repeat = attempt > 1
+	ms, err := number(ctx, HeaderTimeout)
+	if err != nil {
+		return arrived, err
+	}
+	arrived.Timeout = time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond
+	return arrived, nil
+}
+
+// splitPath separates the service from the path that the upstream sees,
+// including the query.
+func splitPath(uri string) (service, path string) {
+	uri = strings.TrimPrefix(uri, "/")
+	end := strings.IndexAny(uri, "/?")
+	if end < 0 {
+		return uri, "/"
+	}
+	service, path = uri[:end], uri[end:]
+	if path[0] == '?' {
+		path = "/" + path
+	}
+	return service, path
+}
+
+func number(ctx iris.Context, header string) (int64, error) {
+	text := ctx.GetHeader(header)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n <= 0 {
+		return 0, fmt.Errorf("%s is %.32q, not a positive whole number", header, text)
+	}
+	return n, nil
+}
+
+// readBody reads the whole request before any work is done.
+func (a *api) readBody(ctx iris.Context) ([]byte, int, error) {
+	req := ctx.Request()
+	if req.Body == nil || req.Body == http.NoBody {
+		return nil, 0, nil
+	}
+	limit := a.cfg.MaxBody()
+	if req.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body of %d bytes is above the limit of %d", req.ContentLength, limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), req.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body is above the limit of %d bytes", limit)
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest, fmt.Errorf("request cut: %w", err)
+	}
+	return body, 0, nil
+}
+
+func digest(method, path string, body []byte) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(method)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(path)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+func writeAnswer(ctx iris.Context, id string, answer *call.Answer) {
+	h := ctx.ResponseWriter().Header()
+	h.Set(HeaderRequestID, id)
+	h.Set(HeaderVerdict, verdict.Run.String())
+	if answer.ContentType != "" {
+		h.Set("Content-Type", answer.ContentType)
+	}
+	if bodyAllowed(answer.Status) {
+		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	ctx.ResponseWriter().WriteHeader(answer.Status)
+	if len(answer.Body) > 0 && bodyAllowed(answer.Status) {
+		_, _ = ctx.ResponseWriter().Write(answer.Body)
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/node/httpapi/keys.go
@@ -0,0 +1,62 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"toucangw.example/core/once"
+	"toucangw.example/core/verdict"
+)
+
+// KeyBody is the JSON body of the state of a key without answer.
+type KeyBody struct {
+	State   string `json:"state"`
+	Verdict string `json:"verdict"`
+}
+
+func (a *api) queryKey(ctx iris.Context)  { a.key(ctx, false) }
+func (a *api) cancelKey(ctx iris.Context) { a.key(ctx, true) }
+
+// key answers with the stored answer when the action is done, and with its
+// state otherwise.
+func (a *api) key(ctx iris.Context, fence bool) {
+	id := requestID(ctx)
+	key := ctx.Params().Get("key")
+	owner, err := a.cfg.Owner(key)
+	if err != nil {
+		a.refuse(ctx, id, &verdict.Refusal{Reason: verdict.KeyUnknown, Detail: err.Error()}, "", http.StatusNotFound)
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx.Request().Context(), keyTimeout)
+	defer cancel()
+	state, err := a.cfg.Calls.Key(wait, owner.Host, key, ctx.GetHeader(HeaderCaller), fence)
+	if err != nil {
+		r := &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.OwnerGone, Detail: err.Error()}
+		a.refuse(ctx, id, r, "", Status(r))
+		return
+	}
+	ctx.Header(HeaderKeyState, state.State.String())
+	if state.Answer != nil {
+		writeAnswer(ctx, id, state.Answer)
+		return
+	}
+	v := VerdictOf(state.State)
+	ctx.Header(HeaderRequestID, id)
+	ctx.Header(HeaderVerdict, v.String())
+	_ = ctx.JSON(KeyBody{State: state.State.String(), Verdict: v.String()})
+}
+
+// VerdictOf returns what is certain about a key in a state. An unseen or
+// queued key has not run, but may still; only a fenced one never will.
+func VerdictOf(s once.State) verdict.Verdict {
+	switch s {
+	case once.Fenced:
+		return verdict.NotRun
+	case once.Done:
+		return verdict.Run
+	default:
+		return verdict.MayHaveRun
+	}
+}
--- /dev/null
+++ b/node/telemetry/writer.go
@@ -0,0 +1,110 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// bufferLimit bounds the bytes that wait to be written; lines beyond it
+	// are dropped and counted, so that a slow disk or terminal delays no call.
+	bufferLimit   = 4 << 20
+	flushInterval = 100 * time.Millisecond
+	flushSize     = 64 << 10
+)
+
+// Writer buffers lines and writes them from one goroutine. It is safe for
+// concurrent use and never blocks on the destination.
+type Writer struct {
+	out     io.Writer
+	dropped atomic.Int64
+
+	mu     sync.Mutex
+	buf    []byte
+	closed bool
+
+	wake chan struct{}
+	stop chan struct{}
+	done chan struct{}
+}
+
+// NewWriter returns a writer that must be closed.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{
+		out:  out,
+		wake: make(chan struct{}, 1),
+		stop: make(chan struct{}),
+		done: make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It reports success also for a dropped line.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	if w.closed || len(w.buf)+len(line) > bufferLimit {
+		w.mu.Unlock()
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.buf = append(w.buf, line...)
+	full := len(w.buf) >= flushSize
+	w.mu.Unlock()
+	if full {
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines lost.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is buffered and ends the goroutine.
+func (w *Writer) Close() {
+	w.mu.Lock()
+	closed := w.closed
+	w.closed = true
+	w.mu.Unlock()
+	if !closed {
+		close(w.stop)
+	}
+	<-w.done
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	var spare []byte
+	for {
+		stopped := false
+		select {
+		case <-w.stop:
+			stopped = true
+		case <-w.wake:
+		case <-ticker.C:
+		}
+		spare = w.flush(spare)
+		if stopped {
+			return
+		}
+	}
+}
+
+// flush swaps the buffers and writes the full one.
+func (w *Writer) flush(spare []byte) []byte {
+	w.mu.Lock()
+	full := w.buf
+	w.buf = spare[:0]
+	w.mu.Unlock()
+	if len(full) > 0 {
+		_, _ = w.out.Write(full)
+	}
+	return full
+}
--- /dev/null
+++ b/node/upstream/client.go
@@ -0,0 +1,268 @@
+// Package upstream runs requests on the upstream of this host over HTTP. It
+// never sends a request twice and proves that an answer is complete.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"toucangw.example/core/call"
+	"toucangw.example/core/engine"
+	"toucangw.example/core/verdict"
+	"toucangw.example/node/driver"
+)
+
+// Header names between a node and its upstream.
+const (
+	HeaderContext   = "Toucangw-Context"
+	HeaderCaller    = "Toucangw-Caller"
+	HeaderRequestID = "X-Request-Id"
+	HeaderTimeout   = "Toucangw-Timeout-Ms"
+	// HeaderKey carries the once-only key. It is not called Idempotency-Key
+	// because net/http resends requests that have a header of that name.
+	HeaderKey      = "Toucangw-Key"
+	HeaderNotRun   = "Toucangw-Not-Run"
+	HeaderDraining = "Toucangw-Draining"
+)
+
+const (
+	dialTimeout   = time.Second
+	idleTimeout   = 90 * time.Second
+	probeInterval = time.Second
+	probeTimeout  = 500 * time.Millisecond
+)
+
+// Config describes the upstream.
+type Config struct {
+	Addr        string // IP:port
+	Connections int    // most connections
+	MaxBody     int64  // most bytes of an answer
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	addr      string
+	maxBody   atomic.Int64
+	http      *http.Client
+	transport *http.Transport
+	probes    *http.Client // apart, so that a full pool does not fail probes
+}
+
+// New returns a client; it connects on first use.
+func New(cfg Config) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:       cfg.Connections,
+		MaxIdleConnsPerHost:   cfg.Connections,
+		IdleConnTimeout:       idleTimeout,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: 0, // the deadline of the call bounds it
+	}
+	c := &Client{
+		addr:      cfg.Addr,
+		transport: transport,
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+	c.probes = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
+	c.maxBody.Store(cfg.MaxBody)
+	return c
+}
+
+// SetMaxBody changes the bound of answers.
+func (c *Client) SetMaxBody(n int64) { c.maxBody.Store(n) }
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+	c.probes.CloseIdleConnections()
+}
+
+// countingConn counts the bytes written, to prove that a request was not sent.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// sending observes how far one request got.
+type sending struct {
+	conn  atomic.Pointer[countingConn]
+	start atomic.Int64
+}
+
+func (s *sending) gotConn(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*countingConn); ok {
+		s.start.Store(conn.written.Load())
+		s.conn.Store(conn)
+	}
+}
+
+// unsent reports whether certainly no byte of the request was written. A
+// cancelled request may still be in the hands of the transport's writer.
+func (s *sending) unsent(err error) bool {
+	conn := s.conn.Load()
+	if conn == nil {
+		return true
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
+	return conn.written.Load() == s.start.Load()
+}
+
+// emptyBody makes net/http treat a request without body as not replayable, so
+// that it is not resent on another connection.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// Run implements driver.Upstream.
+func (c *Client) Run(ctx context.Context, r driver.Run) engine.Event {
+	var s sending
+	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return engine.UpstreamFailed{Verdict: verdict.NotRun, Reason: verdict.BadRequest, Detail: err.Error()}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.sendFailed(ctx, &s, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if shed(resp, r.Idempotent) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, c.maxBody.Load()))
+		return engine.UpstreamReplied{Shed: true, Draining: draining(resp)}
+	}
+	body, err := c.readWhole(resp, r.Method)
+	if err != nil {
+		return engine.UpstreamFailed{Verdict: verdict.Run, Reason: verdict.NotWhole, Detail: err.Error()}
+	}
+	answer := &call.Answer{
+		Status:      resp.StatusCode,
+		ContentType: resp.Header.Get("Content-Type"),
+		Body:        body,
+	}
+	return engine.UpstreamReplied{Answer: answer, Draining: draining(resp)}
+}
+
+func (c *Client) request(ctx context.Context, r driver.Run) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.addr+r.Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	switch {
+	case len(r.Payload.Body) > 0:
+		req.Body = io.NopCloser(bytes.NewReader(r.Payload.Body))
+		req.ContentLength = int64(len(r.Payload.Body))
+	case replayedByTransport(r.Method):
+		req.Body = emptyBody{}
+	}
+	req.GetBody = nil
+	setHeader(req.Header, "Content-Type", r.Payload.ContentType)
+	setHeader(req.Header, HeaderRequestID, r.RequestID)
+	setHeader(req.Header, HeaderCaller, r.Caller)
+	setHeader(req.Header, HeaderKey, r.Key)
+	setHeader(req.Header, HeaderContext, r.Token)
+	left := max(time.Until(r.Deadline).Milliseconds(), 1)
+	req.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	return req, nil
+}
+
+func replayedByTransport(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+func setHeader(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+func (c *Client) sendFailed(ctx context.Context, s *sending, err error) engine.Event {
+	failed := engine.UpstreamFailed{
+		Verdict: verdict.MayHaveRun,
+		Reason:  verdict.UpstreamFailed,
+		Detail:  err.Error(),
+	}
+	if s.unsent(err) {
+		failed.Verdict = verdict.NotRun
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		failed.Reason = verdict.DeadlinePassed
+	} else if ctx.Err() != nil {
+		failed.Reason = verdict.Cancelled
+	}
+	return failed
+}
+
+// shed reports whether the upstream said that it did not run the request. For
+// a request that must not run twice, Retry-After alone proves nothing.
+func shed(resp *http.Response, idempotent bool) bool {
+	if resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
+		return false
+	}
+	if resp.Header.Get(HeaderNotRun) == "1" {
+		return true
+	}
+	return idempotent && resp.Header.Get("Retry-After") != ""
+}
+
+func draining(resp *http.Response) bool { return resp.Header.Get(HeaderDraining) == "1" }
+
+// readWhole reads the body and proves that nothing is missing.
+func (c *Client) readWhole(resp *http.Response, method string) ([]byte, error) {
+	if method == http.MethodHead {
+		return nil, nil
+	}
+	limit := c.maxBody.Load()
+	if resp.ContentLength > limit {
+		return nil, fmt.Errorf("answer of %d bytes is above the limit of %d", resp.ContentLength, limit)
+	}
+	provable := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if !provable {
+		return nil, errors.New("answer has neither a length nor a terminating chunk")
+	}
+	if resp.ContentLength > 0 {
+		body := make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, fmt.Errorf("answer cut: %w", err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("answer cut: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("answer is above the limit of %d bytes", limit)
+	}
+	return body, nil
+}
