--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/netip"
+
+	"toucangw.example/core/admit"
+	"toucangw.example/core/member"
+	"toucangw.example/core/once"
+	"toucangw.example/core/policy"
+	"toucangw.example/core/pressure"
+	"toucangw.example/core/retry"
+	"toucangw.example/core/route"
+	"toucangw.example/node/confsync"
+	"toucangw.example/node/peerlink"
+	"toucangw.example/peer"
+	"toucangw.example/settings"
+)
+
+// ErrCut means that the node stopped before its calls in flight had ended.
+var ErrCut = errors.New("stopped before all calls in flight had ended")
+
+// Policies are the implementations that decide; see core.
+type Policies struct {
+	Admit    admit.Builder
+	Route    route.Builder
+	Budget   retry.Builder
+	Pressure pressure.Builder
+	Keys     func(host member.HostID, incarnation uint64) once.Ledger
+}
+
+// Options describe a node.
+type Options struct {
+	Settings    *settings.Node
+	Incarnation uint64 // process start; larger is later
+	Policies    Policies
+	Output      io.Writer // log
+	// Source provides configuration and hosts; nil for the platform named in
+	// the settings.
+	Source func(SourceConfig) Source
+}
+
+// SourceConfig is what a Source needs.
+type SourceConfig struct {
+	Settings    *settings.Node
+	Incarnation uint64
+	Links       *peerlink.Links
+	OnPolicy    func(*policy.Policy)
+	OnHosts     func(map[string][]member.Host)
+}
+
+// Source keeps configuration and host view up to date. confsync.Service
+// implements it. Implementations are safe for concurrent use.
+type Source interface {
+	Run(ctx context.Context) error
+	HandleExchange(ctx context.Context, m *peer.ExchangeRequest) (*peer.ExchangeReply, error)
+	HandlePush(ctx context.Context, m *peer.PushRequest) (*peer.PushReply, error)
+	Allowed(host string, ip netip.Addr) bool
+	PeerLeaving(host member.HostID, incarnation uint64)
+	PeerAlive(host member.HostID, incarnation uint64)
+	SelfLeaving()
+	Status() confsync.Status
+}
--- a/node/driver/actions.go
+++ b/node/driver/actions.go
@@ -113,6 +113,7 @@
 	d.mu.Lock()
 	if e := d.entries[id]; e != nil {
 		e.attempts = slices.DeleteFunc(e.attempts, func(a attempt) bool { return a.number == number })
+		d.forget(id, e)
 	}
 	tasks := d.stepLocked(event)
 	d.mu.Unlock()
--- a/node/driver/calls.go
+++ b/node/driver/calls.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"time"
 
+	"toucangw.example/core/call"
 	"toucangw.example/core/engine"
 	"toucangw.example/core/member"
 	"toucangw.example/core/once"
 	"toucangw.example/core/verdict"
-
-	"toucangw.example/core/call"
 )
 
 // ErrGone means that the sender of a call went away before it ended.
@@ -133,10 +131,7 @@
 }
 
 // Tick lets time pass and forgets what is over.
-func (d *Driver) Tick(gap time.Duration) {
-	if gap > 0 {
-		d.Step(engine.Woke{Gap: gap})
-	}
+func (d *Driver) Tick() {
 	d.Step(engine.Tick{})
 	d.Sweep(d.cfg.Now())
 }
--- a/node/driver/driver.go
+++ b/node/driver/driver.go
@@ -11,6 +11,7 @@
 	"toucangw.example/core/call"
 	"toucangw.example/core/engine"
 	"toucangw.example/core/member"
+	"toucangw.example/core/pause"
 	"toucangw.example/core/verdict"
 )
 
@@ -89,6 +90,8 @@
 	PeerLeaving func(host member.HostID, incarnation uint64)
 	// SelfLeaving announces that this host is leaving.
 	SelfLeaving func()
+	// Woke is told of a pause of this process.
+	Woke func(gap time.Duration)
 }
 
 // Driver is safe for concurrent use.
@@ -100,6 +103,7 @@
 	mu      sync.Mutex
 	entries map[call.ID]*entry
 	hosts   map[member.HostID]member.Host
+	pauses  pause.Detector
 }
 
 // New returns a driver. The engine must not be used by others afterwards.
@@ -137,7 +141,7 @@
 }
 
 func (e *entry) finished() bool {
-	return !e.running && (e.answered || e.gone && !e.peerCall)
+	return !e.running && len(e.attempts) == 0 && (e.answered || e.gone && !e.peerCall)
 }
 
 // Step hands an event to the engine and carries out the actions.
@@ -150,7 +154,15 @@
 
 func (d *Driver) stepLocked(event engine.Event) []func() {
 	now := d.cfg.Now()
-	return d.prepare(now, d.cfg.Engine.Step(now, event))
+	gap := d.pauses.Tick(now)
+	if gap == 0 {
+		return d.prepare(now, d.cfg.Engine.Step(now, event))
+	}
+	// The pause is handled before anything else is decided on knowledge from
+	// before it. Without pauses, ticks keep the gap between events short.
+	tasks := []func(){func() { d.cfg.Woke(gap) }}
+	tasks = append(tasks, d.prepare(now, d.cfg.Engine.Step(now, engine.Woke{Gap: gap}))...)
+	return append(tasks, d.prepare(now, d.cfg.Engine.Step(now, event))...)
 }
 
 func perform(tasks []func()) {
--- /dev/null
+++ b/node/events.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"slices"
+	"time"
+
+	"toucangw.example/core/engine"
+	"toucangw.example/core/member"
+	"toucangw.example/core/policy"
+	"toucangw.example/node/telemetry"
+	"toucangw.example/settings"
+)
+
+// decisionLog returns the logger for decisions, which is silent if the
+// settings say so.
+func decisionLog(logs *telemetry.Logs, s *settings.Node) *slog.Logger {
+	if s.Log.Decisions {
+		return logs.Decisions
+	}
+	return slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError + 1}))
+}
+
+func (n *Node) onPolicy(p *policy.Policy) {
+	n.policy.Store(p)
+	if n.upstream != nil {
+		connections := 0
+		if service := p.Services[n.settings.Host.Service]; service != nil {
+			connections = service.Connections
+		}
+		n.upstream.SetLimits(connections, n.maxBody())
+	}
+	n.driver.Step(engine.PolicyChanged{Policy: p})
+	n.logs.Logger.Info("configuration in force", "revision", p.Revision, "site", p.Site)
+}
+
+func (n *Node) onHosts(hosts map[string][]member.Host) {
+	var all []member.Host
+	known := make(map[member.HostID]bool)
+	for _, list := range hosts {
+		for _, h := range list {
+			all = append(all, h)
+			known[h.ID] = true
+		}
+	}
+	slices.SortFunc(all, func(a, b member.Host) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	n.hostsMu.Lock()
+	n.hosts = all
+	n.hostsMu.Unlock()
+	n.driver.SetHosts(hosts)
+	n.links.Retain(func(id member.HostID) bool { return known[id] })
+	n.logs.Logger.Info("hosts changed", "hosts", len(all))
+}
+
+func (n *Node) peerLeaving(host member.HostID, incarnation uint64) {
+	n.logs.Logger.Info("peer is leaving", "host", string(host), "incarnation", incarnation)
+	n.source.PeerLeaving(host, incarnation)
+}
+
+func (n *Node) peerSilent(host member.HostID) {
+	n.observer.Metrics.Silent()
+	n.logs.Logger.Warn("silent connection replaced", "host", string(host))
+}
+
+func (n *Node) woke(gap time.Duration) {
+	n.links.Woke()
+	n.observer.Metrics.Paused()
+	n.logs.Logger.Warn("process was paused", "gap", gap)
+}
+
+// announce tells the other nodes that this host is leaving.
+func (n *Node) announce() {
+	if n.leaving.Swap(true) {
+		return
+	}
+	n.logs.Logger.Info("leaving")
+	n.peers.Leave()
+	n.source.SelfLeaving()
+}
+
+// healthPath returns the path of the upstream's health endpoint.
+func (n *Node) healthPath() string {
+	if n.settings.Upstream.HealthPath != "" {
+		return n.settings.Upstream.HealthPath
+	}
+	p := n.policy.Load()
+	if p == nil || p.Services[n.settings.Host.Service] == nil {
+		return ""
+	}
+	return p.Services[n.settings.Host.Service].ProbePath
+}
+
+// tickLoop drives time in the engine and the search for silent connections.
+func (n *Node) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(engine.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.driver.Tick()
+			n.links.Check()
+		}
+	}
+}
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	maxHeaderBytes    = 64 << 10
+	defaultMaxHeader  = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 90 * time.Second
 	keyTimeout        = 2 * time.Second
@@ -56,7 +56,9 @@
 	// MaxBody returns the present bound of request bodies.
 	MaxBody func() int64
 	// Owner reads the owner from a key.
-	Owner func(key string) (once.Owner, error)
+	Owner func(key string) (once.Owner, bool)
+	// MaxHeader bounds the request headers in bytes; 0 for the default.
+	MaxHeader int
 	// Egress makes the API of the local upstream instead of that of callers.
 	Egress bool
 }
@@ -81,9 +83,13 @@
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
+	header := cfg.MaxHeader
+	if header == 0 {
+		header = defaultMaxHeader
+	}
 	return &http.Server{
 		Handler:           app,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    header,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}, nil
--- a/node/httpapi/call.go
+++ b/node/httpapi/call.go
@@ -43,12 +43,12 @@
 	id := requestID(ctx)
 	arrived, err := a.parse(ctx, id)
 	if err != nil {
-		a.refuse(ctx, id, verdict.Refuse(verdict.BadRequest, err.Error()), "", http.StatusBadRequest)
+		a.reject(ctx, id, arrived, err, http.StatusBadRequest)
 		return
 	}
 	body, status, err := a.readBody(ctx)
 	if err != nil {
-		a.refuse(ctx, id, verdict.Refuse(verdict.BadRequest, err.Error()), "", status)
+		a.reject(ctx, id, arrived, err, status)
 		return
 	}
 	arrived.Digest = digest(arrived.Method, arrived.Path, body)
@@ -60,11 +60,17 @@
 	case end.Answer != nil:
 		writeAnswer(ctx, id, end.Answer)
 	default:
-		a.cfg.Refusals.Refused(id, arrived.Service, arrived.Caller, end.Refusal)
 		a.refuse(ctx, id, end.Refusal, end.Key, Status(end.Refusal))
 	}
 }
 
+// reject refuses a request that never reached the engine.
+func (a *api) reject(ctx iris.Context, id string, arrived engine.CallArrived, err error, status int) {
+	refusal := verdict.Refuse(verdict.BadRequest, err.Error())
+	a.cfg.Refusals.Refused(id, arrived.Service, arrived.Caller, refusal)
+	a.refuse(ctx, id, refusal, "", status)
+}
+
 func (a *api) parse(ctx iris.Context, id string) (engine.CallArrived, error) {
 	arrived := engine.CallArrived{
 		Egress:    a.cfg.Egress,
--- a/node/httpapi/keys.go
+++ b/node/httpapi/keys.go
@@ -24,9 +24,9 @@
 func (a *api) key(ctx iris.Context, fence bool) {
 	id := requestID(ctx)
 	key := ctx.Params().Get("key")
-	owner, err := a.cfg.Owner(key)
-	if err != nil {
-		a.refuse(ctx, id, &verdict.Refusal{Reason: verdict.KeyUnknown, Detail: err.Error()}, "", http.StatusNotFound)
+	owner, ok := a.cfg.Owner(key)
+	if !ok {
+		a.refuse(ctx, id, &verdict.Refusal{Reason: verdict.KeyUnknown, Detail: "the key was not issued by this system"}, "", http.StatusNotFound)
 		return
 	}
 	wait, cancel := context.WithTimeout(ctx.Request().Context(), keyTimeout)
--- /dev/null
+++ b/node/operator/operator.go
@@ -0,0 +1,107 @@
+// Package operator serves the operators' API of a node: health, metrics,
+// status, log level and recent refusals.
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"toucangw.example/node/telemetry"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// Status is what `toucangwctl show` prints.
+type Status struct {
+	Host        string              `json:"host"`
+	Incarnation uint64              `json:"incarnation"`
+	Zone        string              `json:"zone"`
+	Site        string              `json:"site"`
+	Service     string              `json:"service"`
+	Revision    uint64              `json:"revision"` // version in force
+	Ready       bool                `json:"ready"`
+	Leaving     bool                `json:"leaving"`
+	Calls       int                 `json:"calls"`
+	Runs        int                 `json:"runs"`
+	Keys        int                 `json:"keys"`
+	KeyBytes    int64               `json:"key_bytes"`
+	Load        Load                `json:"load"`
+	Levels      map[string]uint32   `json:"levels"` // admission level by caller
+	Members     []Member            `json:"members"`
+	Config      any                 `json:"config"`
+	LogLevel    string              `json:"log_level"`
+	Dropped     int64               `json:"log_lines_dropped"`
+	Refusals    []telemetry.Refusal `json:"refusals"`
+}
+
+// Load is the load of the guarded upstream.
+type Load struct {
+	Running int   `json:"running"`
+	Queued  int   `json:"queued"`
+	Limit   int   `json:"limit"`
+	Slots   int   `json:"slots"`
+	WaitMs  int64 `json:"wait_ms"`
+}
+
+// Member is a host as the node sees it.
+type Member struct {
+	Host        string `json:"host"`
+	Addr        string `json:"addr"`
+	Zone        string `json:"zone"`
+	Service     string `json:"service"`
+	Status      string `json:"status"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// LevelBody is the body of PUT /v1/loglevel.
+type LevelBody struct {
+	Level string `json:"level"`
+}
+
+// Config lists what the API needs.
+type Config struct {
+	Status   func() Status
+	Ready    func() bool
+	Refusals func(requestID string) []telemetry.Refusal
+	SetLevel func(level string) error
+	Metrics  http.Handler
+}
+
+// NewServer returns an HTTP server without listener.
+func NewServer(cfg Config) (*http.Server, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
+	app.Get("/readyz", func(ctx iris.Context) {
+		if !cfg.Ready() {
+			ctx.StatusCode(http.StatusServiceUnavailable)
+			_, _ = ctx.WriteString("not ready\n")
+			return
+		}
+		_, _ = ctx.WriteString("ready\n")
+	})
+	app.Get("/metrics", iris.FromStd(cfg.Metrics))
+	app.Get("/v1/status", func(ctx iris.Context) { _ = ctx.JSON(cfg.Status()) })
+	app.Get("/v1/refusals", func(ctx iris.Context) { _ = ctx.JSON(cfg.Refusals(ctx.URLParam("request_id"))) })
+	app.Put("/v1/loglevel", func(ctx iris.Context) { setLevel(ctx, cfg.SetLevel) })
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return &http.Server{Handler: app, ReadHeaderTimeout: readHeaderTimeout}, nil
+}
+
+func setLevel(ctx iris.Context, set func(string) error) {
+	var body LevelBody
+	err := ctx.ReadJSON(&body)
+	if err == nil {
+		err = set(body.Level)
+	}
+	if err != nil {
+		ctx.StatusCode(http.StatusBadRequest)
+		_ = ctx.JSON(iris.Map{"error": err.Error()})
+		return
+	}
+	_ = ctx.JSON(body)
+}
--- a/node/peerlink/links.go
+++ b/node/peerlink/links.go
@@ -47,20 +47,28 @@
 	events Events
 
 	mu     sync.Mutex
-	conns  map[member.HostID]*link
+	conns  map[string]*link
 	closed bool
 	wg     sync.WaitGroup
 }
 
 // link is the present connection to one peer.
 type link struct {
-	addr string
+	host member.Host
 	conn *conn
 }
 
+// key names a connection. Peers that are asked at start have no host id yet.
+func key(host member.Host) string {
+	if host.ID == "" {
+		return host.Addr
+	}
+	return string(host.ID)
+}
+
 // NewLinks returns links without connections; they are opened on first use.
 func NewLinks(self Self, events Events) *Links {
-	return &Links{self: self, events: events, conns: make(map[member.HostID]*link)}
+	return &Links{self: self, events: events, conns: make(map[string]*link)}
 }
 
 // Close closes all connections and waits for their watch streams.
@@ -81,7 +89,7 @@
 	l.mu.Lock()
 	var dropped []*conn
 	for id, k := range l.conns {
-		if !known(id) && k.conn.inFlight.Load() == 0 {
+		if !known(k.host.ID) && k.conn.inFlight.Load() == 0 {
 			dropped = append(dropped, k.conn)
 			delete(l.conns, id)
 		}
@@ -92,14 +100,29 @@
 	}
 }
 
-// Client returns the protocol client of a peer, for other users of the
-// connection.
-func (l *Links) Client(host member.Host) (peer.PeerClient, error) {
+// Exchange sends a message of the configuration exchange.
+func (l *Links) Exchange(ctx context.Context, host member.Host, m *peer.ExchangeRequest) (*peer.ExchangeReply, error) {
 	c, err := l.get(host, false)
 	if err != nil {
 		return nil, err
 	}
-	return c.client, nil
+	m.Sender = l.self.sender()
+	c.begin()
+	defer c.end()
+	return c.client.Exchange(ctx, m)
+}
+
+// Push sends values that have just changed.
+func (l *Links) Push(ctx context.Context, host member.Host, m *peer.PushRequest) (*peer.PushReply, error) {
+	c, err := l.get(host, false)
+	if err != nil {
+		return nil, err
+	}
+	// The same message goes to several hosts at once, so it is not changed.
+	own := &peer.PushRequest{Sender: l.self.sender(), Snapshot: m.GetSnapshot(), Deltas: m.GetDeltas(), Facts: m.GetFacts()}
+	c.begin()
+	defer c.end()
+	return c.client.Push(ctx, own)
 }
 
 // get returns the connection to a host. With fresh set, a connection that may
@@ -110,8 +133,8 @@
 	if l.closed {
 		return nil, errClosed
 	}
-	k := l.conns[host.ID]
-	if k != nil && k.addr == host.Addr && (!fresh || !stale(k.conn)) {
+	k := l.conns[key(host)]
+	if k != nil && k.host.Addr == host.Addr && (!fresh || !stale(k.conn)) {
 		return k.conn, nil
 	}
 	if k != nil {
@@ -132,7 +155,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stop = cancel
-	l.conns[host.ID] = &link{addr: host.Addr, conn: c}
+	l.conns[key(host)] = &link{host: host, conn: c}
 	l.wg.Go(func() { l.watch(ctx, host.ID, c) })
 	return c, nil
 }
@@ -220,7 +243,7 @@
 	}
 }
 
-func (l *Links) ping(id member.HostID, k *link) {
+func (l *Links) ping(id string, k *link) {
 	defer k.conn.pinging.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
@@ -238,17 +261,17 @@
 
 // replace opens a new connection beside a silent one and then fails the calls
 // on the old one.
-func (l *Links) replace(id member.HostID, k *link) {
+func (l *Links) replace(id string, k *link) {
 	l.mu.Lock()
 	if l.closed || l.conns[id] != k {
 		l.mu.Unlock()
 		return
 	}
-	_, err := l.open(member.Host{ID: id, Addr: k.addr})
+	_, err := l.open(k.host)
 	l.mu.Unlock()
 	if err == nil {
 		k.conn.close()
-		l.events.Silent(id)
+		l.events.Silent(k.host.ID)
 	}
 }
 
@@ -273,7 +296,7 @@
 		if err != nil {
 			return
 		}
-		if a.GetLeaving() {
+		if a.GetLeaving() && id != "" {
 			l.events.Leaving(id, a.GetIncarnation())
 		}
 	}
--- a/node/peerlink/server.go
+++ b/node/peerlink/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 	Handler Handler
 	Spread  Spread // nil refuses configuration messages
 	// Allowed reports whether a host with a source address is on the list.
-	Allowed func(host member.HostID, ip string) bool
+	Allowed func(host string, ip netip.Addr) bool
 }
 
 // Server is the gRPC service of a node. It is safe for concurrent use.
@@ -96,12 +97,12 @@
 	if !ok {
 		return status.Error(codes.PermissionDenied, "the address of the sender is not known")
 	}
-	host, _, err := net.SplitHostPort(from.Addr.String())
+	ap, err := netip.ParseAddrPort(from.Addr.String())
 	if err != nil {
-		host = from.Addr.String()
+		return status.Error(codes.PermissionDenied, "the address of the sender is not an IP address")
 	}
-	if !s.cfg.Allowed(member.HostID(sender.GetHost()), host) {
-		return status.Errorf(codes.PermissionDenied, "host %.64q at %s is not on the list", sender.GetHost(), host)
+	if !s.cfg.Allowed(sender.GetHost(), ap.Addr().Unmap()) {
+		return status.Errorf(codes.PermissionDenied, "host %.64q at %s is not on the list", sender.GetHost(), ap.Addr())
 	}
 	return nil
 }
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"toucangw.example/core/member"
+	"toucangw.example/core/policy"
+	"toucangw.example/node/confsync"
+	"toucangw.example/settings"
+)
+
+// platformSource reads configuration and hosts from the platform and peers.
+func (n *Node) platformSource(cfg SourceConfig) Source {
+	h := cfg.Settings.Host
+	urls := make([]string, 0, len(cfg.Settings.Platform.Addresses))
+	for _, addr := range cfg.Settings.Platform.Addresses {
+		urls = append(urls, "http://"+addr.String())
+	}
+	seeds := make([]string, 0, len(cfg.Settings.Seeds))
+	for _, addr := range cfg.Settings.Seeds {
+		seeds = append(seeds, addr.String())
+	}
+	return confsync.New(confsync.Config{
+		Self: member.Host{
+			ID:          member.HostID(h.ID),
+			Addr:        cfg.Settings.Listen.Peers.String(),
+			Region:      h.Region,
+			Zone:        h.Zone,
+			Service:     h.Service,
+			Incarnation: cfg.Incarnation,
+		},
+		Incarnation:  cfg.Incarnation,
+		Site:         h.Site,
+		PlatformURLs: urls,
+		Seeds:        seeds,
+		Peers:        cfg.Links,
+		Compiler:     compile,
+		OnPolicy:     cfg.OnPolicy,
+		OnHosts:      cfg.OnHosts,
+		Logger:       n.logs.Logger,
+		Seed:         cfg.Incarnation,
+	})
+}
+
+// compile judges a snapshot with the same code as `toucangwctl check`.
+func compile(revision uint64, base []byte, overlays map[string][]byte) (map[string]*policy.Policy, error) {
+	sources := make(map[string]settings.Source, len(overlays))
+	for site, data := range overlays {
+		sources[site] = settings.Source{Name: "config/overlay/" + site, Data: data}
+	}
+	policies, problems := settings.Compile(revision, settings.Source{Name: "config/base", Data: base}, sources)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return policies, nil
+}
--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"toucangw.example/core/engine"
+)
+
+const (
+	// drainLinger is the shortest time between the announcement that the host
+	// leaves and the close of the listeners. Peers and callers that have not
+	// heard of it yet get a refusal instead of a broken connection.
+	drainLinger = time.Second
+
+	idleCheck = 20 * time.Millisecond
+
+	// closeTimeout bounds the close of servers whose calls have all ended.
+	closeTimeout = 2 * time.Second
+)
+
+// Run serves until drain is closed and the calls in flight have ended, and
+// then returns nil. If ctx ends first or the drain timeout passes, it returns
+// ErrCut. Run may be called once.
+func (n *Node) Run(ctx context.Context, drain <-chan struct{}) error {
+	defer n.logs.Close()
+	background, stop := context.WithCancel(context.Background())
+	failed := make(chan error, 1)
+	var servers, loops sync.WaitGroup
+	n.startLoops(background, &loops)
+	n.startServers(background, &servers, failed)
+	n.logs.Logger.Info("started", "host", n.settings.Host.ID, "incarnation", n.incarnation,
+		"callers", n.listeners.callers.Addr().String(), "peers", n.listeners.peers.Addr().String())
+
+	err := n.wait(ctx, drain, failed)
+	stopped := n.stopServers(err != nil)
+	stop()
+	n.links.Close()
+	loops.Wait()
+	servers.Wait()
+	if n.upstream != nil {
+		n.upstream.Close()
+	}
+	err = errors.Join(err, stopped)
+	if err != nil {
+		n.logs.Logger.Error("stopped", "error", err.Error())
+	} else {
+		n.logs.Logger.Info("stopped")
+	}
+	return err
+}
+
+func (n *Node) startLoops(ctx context.Context, wg *sync.WaitGroup) {
+	wg.Go(func() { n.tickLoop(ctx) })
+	wg.Go(func() {
+		if err := n.source.Run(ctx); err != nil && ctx.Err() == nil {
+			n.logs.Logger.Error("configuration source ended", "error", err.Error())
+		}
+	})
+	if n.upstream != nil {
+		wg.Go(func() {
+			n.upstream.ProbeLoop(ctx, n.healthPath, func(h engine.HealthProbed) { n.driver.Step(h) })
+		})
+	}
+}
+
+func (n *Node) startServers(ctx context.Context, wg *sync.WaitGroup, failed chan<- error) {
+	http1 := func(server *http.Server, run func() error) func() error {
+		return func() error {
+			if err := run(); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		}
+	}
+	l := n.listeners
+	serve(ctx, wg, "caller listener", http1(n.callers, func() error { return n.callers.Serve(l.callers) }), failed)
+	serve(ctx, wg, "egress listener", http1(n.egress, func() error { return n.egress.Serve(l.egress) }), failed)
+	serve(ctx, wg, "operator listener", http1(n.operator, func() error { return n.operator.Serve(l.operator) }), failed)
+	serve(ctx, wg, "peer listener", func() error { return n.peers.Serve(l.peers) }, failed)
+}
+
+// wait returns when the node should stop: nil if nothing is in flight.
+func (n *Node) wait(ctx context.Context, drain <-chan struct{}, failed <-chan error) error {
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return ErrCut
+	case <-drain:
+	}
+	return n.drain(ctx, failed)
+}
+
+// drain refuses new work and waits for what is in flight.
+func (n *Node) drain(ctx context.Context, failed <-chan error) error {
+	started := time.Now()
+	n.driver.Step(engine.DrainStarted{})
+	n.announce()
+	n.callers.SetKeepAlivesEnabled(false)
+	timeout := time.NewTimer(n.settings.Limits.DrainTimeout)
+	defer timeout.Stop()
+	check := time.NewTicker(idleCheck)
+	defer check.Stop()
+	for {
+		select {
+		case <-check.C:
+			if time.Since(started) >= drainLinger && n.driver.Idle() {
+				return nil
+			}
+		case err := <-failed:
+			return err
+		case <-timeout.C:
+			return ErrCut
+		case <-ctx.Done():
+			return ErrCut
+		}
+	}
+}
+
+// stopServers closes the listeners and then the servers; the operators' API
+// goes last.
+func (n *Node) stopServers(cut bool) error {
+	if cut {
+		n.peers.Stop(0)
+		return errors.Join(n.callers.Close(), n.egress.Close(), n.operator.Close())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	n.peers.Stop(closeTimeout)
+	return errors.Join(err, n.egress.Shutdown(ctx), n.operator.Shutdown(ctx))
+}
--- a/node/upstream/client.go
+++ b/node/upstream/client.go
@@ -41,24 +41,44 @@
 	probeTimeout  = 500 * time.Millisecond
 )
 
-// Config describes the upstream.
-type Config struct {
-	Addr        string // IP:port
-	Connections int    // most connections
-	MaxBody     int64  // most bytes of an answer
-}
-
 // Client is safe for concurrent use.
 type Client struct {
-	addr      string
-	maxBody   atomic.Int64
-	http      *http.Client
-	transport *http.Transport
-	probes    *http.Client // apart, so that a full pool does not fail probes
+	addr    string
+	maxBody atomic.Int64
+	pool    atomic.Pointer[pool]
+	probes  *http.Client // apart, so that a full pool does not fail probes
+}
+
+// pool is a set of connections with a bound.
+type pool struct {
+	connections int
+	http        *http.Client
+}
+
+// New returns a client of the upstream at addr (IP:port). It connects on first
+// use and has no bound of connections until SetLimits.
+func New(addr string, maxBody int64) *Client {
+	c := &Client{addr: addr}
+	c.probes = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
+	c.SetLimits(0, maxBody)
+	return c
 }
 
-// New returns a client; it connects on first use.
-func New(cfg Config) *Client {
+// SetLimits changes the most connections (0 for no bound) and the most bytes
+// of an answer. Requests under way keep the connections that they have.
+func (c *Client) SetLimits(connections int, maxBody int64) {
+	c.maxBody.Store(maxBody)
+	old := c.pool.Load()
+	if old != nil && old.connections == connections {
+		return
+	}
+	c.pool.Store(newPool(connections))
+	if old != nil {
+		old.http.CloseIdleConnections()
+	}
+}
+
+func newPool(connections int) *pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -68,31 +88,23 @@
 			}
 			return &countingConn{Conn: conn}, nil
 		},
-		MaxConnsPerHost:       cfg.Connections,
-		MaxIdleConnsPerHost:   cfg.Connections,
-		IdleConnTimeout:       idleTimeout,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: 0, // the deadline of the call bounds it
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: max(connections, http.DefaultMaxIdleConnsPerHost),
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}
-	c := &Client{
-		addr:      cfg.Addr,
-		transport: transport,
+	return &pool{
+		connections: connections,
 		http: &http.Client{
 			Transport:     transport,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
-	c.probes = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
-	c.maxBody.Store(cfg.MaxBody)
-	return c
 }
 
-// SetMaxBody changes the bound of answers.
-func (c *Client) SetMaxBody(n int64) { c.maxBody.Store(n) }
-
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.pool.Load().http.CloseIdleConnections()
 	c.probes.CloseIdleConnections()
 }
 
@@ -148,7 +160,7 @@
 	if err != nil {
 		return engine.UpstreamFailed{Verdict: verdict.NotRun, Reason: verdict.BadRequest, Detail: err.Error()}
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.pool.Load().http.Do(req)
 	if err != nil {
 		return c.sendFailed(ctx, &s, err)
 	}
