--- a/node/node.go
+++ b/node/node.go
@@ -79,15 +79,17 @@
 	self := peerlink.Self{Host: member.HostID(n.settings.Host.ID), Incarnation: n.incarnation}
 	n.engine = engine.New(engineConfig(opts, self))
 	n.links = peerlink.NewLinks(self, peerlink.Events{Leaving: n.peerLeaving, Silent: n.peerSilent})
+	var guarded driver.Upstream = noUpstream{}
 	if n.settings.Upstream.Address.IsValid() {
 		n.upstream = upstream.New(n.settings.Upstream.Address.String(), n.settings.Limits.MaxBody)
+		guarded = n.upstream
 	}
 	n.driver = driver.New(driver.Config{
 		Self:        self.Host,
 		Incarnation: n.incarnation,
 		Engine:      n.engine,
 		Peers:       n.links,
-		Upstream:    n.upstream,
+		Upstream:    guarded,
 		Observer:    n.observer,
 		PeerLeaving: n.peerLeaving,
 		SelfLeaving: n.announce,
--- /dev/null
+++ b/standin/upstream/deployments.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"net/http"
+	"time"
+)
+
+// Routes returns the routes of a service in the example deployments, with the
+// service times of docs/design.md.
+func Routes(deployment, service string) []Route {
+	return deployments[deployment][service]
+}
+
+func read(prefix string, ms int, calls ...Call) Route {
+	return Route{Method: http.MethodGet, Prefix: prefix, Time: time.Duration(ms) * time.Millisecond, Calls: calls}
+}
+
+func write(prefix string, ms int, calls ...Call) Route {
+	return Route{Method: http.MethodPost, Prefix: prefix, Time: time.Duration(ms) * time.Millisecond, Calls: calls}
+}
+
+func get(service, prefix string) Call {
+	return Call{Service: service, Method: http.MethodGet, Prefix: prefix}
+}
+
+func post(service, prefix string) Call {
+	return Call{Service: service, Method: http.MethodPost, Prefix: prefix}
+}
+
+var deployments = map[string]map[string][]Route{
+	"drooglog": {
+		"batchlog": {
+			read("/batches", 8, get("ledger", "/entries/batches")),
+			read("/quality", 6, get("ledger", "/entries/quality")),
+		},
+		"release": {
+			write("/sign-offs", 10, post("ledger", "/entries/sign-offs")),
+		},
+		"ledger": {
+			read("/ledger", 5),
+			read("/entries/batches", 4),
+			read("/entries/quality", 4, get("quality", "/results")),
+			write("/entries/sign-offs", 5, get("quality", "/checks")),
+		},
+		"quality": {
+			read("/results", 6),
+			read("/checks", 4),
+		},
+	},
+}
--- /dev/null
+++ b/standin/upstream/upstream.go
@@ -0,0 +1,354 @@
+// Package upstream is a stand-in for an upstream service: it has slots, a
+// bound of connections and a service time, calls further services through its
+// node, misbehaves on command, and counts its runs.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Headers between the node and its upstream.
+const (
+	headerContext   = "Toucangw-Context"
+	headerRequestID = "X-Request-Id"
+	headerKey       = "Toucangw-Key"
+	headerNotRun    = "Toucangw-Not-Run"
+	headerDraining  = "Toucangw-Draining"
+	headerTimeout   = "Toucangw-Timeout-Ms"
+)
+
+const (
+	maxBody       = 1 << 20
+	subCallLimit  = 5 * time.Second
+	serviceJitter = 0.2 // share by which the service time varies
+)
+
+// Call is a call to a further service.
+type Call struct {
+	Service string
+	Method  string
+	Prefix  string // followed by the rest of the path of the request
+}
+
+// Route is a kind of request that the upstream serves.
+type Route struct {
+	Method string
+	Prefix string
+	Time   time.Duration // slot time at this upstream
+	Calls  []Call        // made one after the other
+}
+
+// Config describes an upstream.
+type Config struct {
+	Service     string
+	Slots       int
+	Connections int
+	Egress      string  // base URL of the node's egress listener
+	Scale       float64 // factor of all service times; 0 for 1
+	Routes      []Route
+}
+
+// Mode is how the upstream misbehaves.
+type Mode struct {
+	Slow   float64 `json:"slow"`   // factor of the service time; 0 for 1
+	Silent bool    `json:"silent"` // never answers
+	Shed   bool    `json:"shed"`   // refuses as not run
+	Drain  bool    `json:"drain"`  // says that it is going away
+	Cut    bool    `json:"cut"`    // breaks off answers
+}
+
+// Counts are the runs since the start.
+type Counts struct {
+	Runs       int            `json:"runs"`
+	ByRequest  map[string]int `json:"by_request"` // X-Request-Id
+	ByKey      map[string]int `json:"by_key"`     // once-only key
+	ByAction   map[string]int `json:"by_action"`  // method and path of requests that are not GET
+	LastRun    time.Time      `json:"last_run"`   // begin of the latest run
+	MostAtOnce int            `json:"most_at_once"`
+}
+
+// Answer is the body of an answer. A caller checks that it is its own.
+type Answer struct {
+	Service   string   `json:"service"`
+	RequestID string   `json:"request_id"`
+	Method    string   `json:"method"`
+	Path      string   `json:"path"`
+	Calls     []string `json:"calls,omitempty"`
+	Padding   string   `json:"padding"`
+}
+
+// Upstream is safe for concurrent use.
+type Upstream struct {
+	cfg    Config
+	slots  chan struct{}
+	client *http.Client
+	mode   atomic.Pointer[Mode]
+
+	mu      sync.Mutex
+	counts  Counts
+	running int
+}
+
+// New returns an upstream without listener.
+func New(cfg Config) *Upstream {
+	if cfg.Scale == 0 {
+		cfg.Scale = 1
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: cfg.Slots, DisableCompression: true}
+	u := &Upstream{
+		cfg:    cfg,
+		slots:  make(chan struct{}, cfg.Slots),
+		client: &http.Client{Transport: transport, Timeout: subCallLimit},
+		counts: Counts{
+			ByRequest: make(map[string]int),
+			ByKey:     make(map[string]int),
+			ByAction:  make(map[string]int),
+		},
+	}
+	u.mode.Store(&Mode{})
+	return u
+}
+
+// SetMode changes how the upstream misbehaves.
+func (u *Upstream) SetMode(m Mode) { u.mode.Store(&m) }
+
+// Close closes idle connections to the node.
+func (u *Upstream) Close() { u.client.CloseIdleConnections() }
+
+// Counts returns a copy of the counts.
+func (u *Upstream) Counts() Counts {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	data, _ := json.Marshal(u.counts)
+	var copied Counts
+	_ = json.Unmarshal(data, &copied)
+	return copied
+}
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	mode := u.mode.Load()
+	if mode.Drain {
+		w.Header().Set(headerDraining, "1")
+	}
+	if r.URL.Path == "/healthz" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	route := u.route(r)
+	if route == nil {
+		http.Error(w, "no such route", http.StatusNotFound)
+		return
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBody)); err != nil {
+		http.Error(w, "request cut", http.StatusBadRequest)
+		return
+	}
+	if mode.Shed {
+		w.Header().Set(headerNotRun, "1")
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case u.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-u.slots }()
+	if r.Context().Err() != nil {
+		return // withdrawn while it waited for a slot
+	}
+	u.run(w, r, route)
+}
+
+func (u *Upstream) route(r *http.Request) *Route {
+	for i := range u.cfg.Routes {
+		route := &u.cfg.Routes[i]
+		if route.Method == r.Method && strings.HasPrefix(r.URL.Path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+func (u *Upstream) run(w http.ResponseWriter, r *http.Request, route *Route) {
+	u.begin(r)
+	defer u.end()
+	if u.mode.Load().Silent {
+		<-r.Context().Done()
+		return
+	}
+	if !u.work(r.Context(), route.Time) {
+		return
+	}
+	answer := Answer{
+		Service:   u.cfg.Service,
+		RequestID: r.Header.Get(headerRequestID),
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Padding:   strings.Repeat("x", rand.IntN(2048)),
+	}
+	for _, c := range route.Calls {
+		if err := u.call(r, c, strings.TrimPrefix(r.URL.Path, route.Prefix)); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		answer.Calls = append(answer.Calls, c.Service)
+	}
+	u.write(w, answer)
+}
+
+func (u *Upstream) begin(r *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running++
+	u.counts.Runs++
+	u.counts.LastRun = time.Now()
+	u.counts.MostAtOnce = max(u.counts.MostAtOnce, u.running)
+	u.counts.ByRequest[r.Header.Get(headerRequestID)]++
+	if key := r.Header.Get(headerKey); key != "" {
+		u.counts.ByKey[key]++
+	}
+	if r.Method != http.MethodGet {
+		u.counts.ByAction[r.Method+" "+r.URL.Path]++
+	}
+}
+
+func (u *Upstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+}
+
+// work occupies the slot for the service time. It reports false if the request
+// was withdrawn.
+func (u *Upstream) work(ctx context.Context, d time.Duration) bool {
+	factor := u.cfg.Scale * (1 + serviceJitter*(2*rand.Float64()-1))
+	if slow := u.mode.Load().Slow; slow > 0 {
+		factor *= slow
+	}
+	timer := time.NewTimer(time.Duration(float64(d) * factor))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// call makes a call to a further service through the node.
+func (u *Upstream) call(r *http.Request, c Call, rest string) error {
+	url := u.cfg.Egress + "/" + c.Service + c.Prefix + rest
+	req, err := http.NewRequestWithContext(r.Context(), c.Method, url, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("make call to %s: %w", c.Service, err)
+	}
+	req.Header.Set(headerContext, r.Header.Get(headerContext))
+	req.Header.Set(headerRequestID, r.Header.Get(headerRequestID))
+	if timeout := r.Header.Get(headerTimeout); timeout != "" {
+		req.Header.Set(headerTimeout, timeout)
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("call to %s: %w", c.Service, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return fmt.Errorf("answer of %s: %w", c.Service, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("call to %s: status %d: %.200s", c.Service, resp.StatusCode, bytes.TrimSpace(body))
+	}
+	return nil
+}
+
+func (u *Upstream) write(w http.ResponseWriter, answer Answer) {
+	body, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	if !u.mode.Load().Cut {
+		_, _ = w.Write(body)
+		return
+	}
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler) // closes the connection
+}
+
+// limitListener closes connections beyond a bound at once.
+type limitListener struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+// Limit returns a listener with at most n connections at a time.
+func Limit(lis net.Listener, n int) net.Listener {
+	return &limitListener{Listener: lis, most: int64(n)}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &limitedConn{Conn: conn, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		_ = conn.Close()
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Control returns the handler of the control listener: GET /counts and PUT
+// /mode.
+func (u *Upstream) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(u.Counts())
+	})
+	mux.HandleFunc("PUT /mode", func(w http.ResponseWriter, r *http.Request) {
+		var m Mode
+		decoder := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+		decoder.DisallowUnknownFields()
+		if err := errors.Join(decoder.Decode(&m)); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		u.SetMode(m)
+	})
+	return mux
+}
