--- a/core/once/ledger.go
+++ b/core/once/ledger.go
@@ -265,7 +265,8 @@
 	}
 }
 
-// Reject implements Ledger.
+// Reject implements Ledger. It has no effect once the outcome was recorded as
+// unknown or done.
 func (l *ledger) Reject(now time.Time, key string) {
 	if e := l.entry(now, key); e != nil && e.unfinished() {
 		e.state = Fenced
