--- a/cmd/toucangwd/main.go
+++ b/cmd/toucangwd/main.go
@@ -1,4 +1,135 @@
-// Command toucangwd is the node process.
+// Command toucangwd is the node process: it runs in the slot on each upstream
+// host, between callers and upstreams.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"toucangw.example/node"
+	"toucangw.example/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // could not start, or a listener broke
+	exitSettings = 2 // settings or command line are not valid
+	exitCut      = 3 // stopped before all calls in flight had ended
+)
+
+type options struct {
+	Config  string `short:"c" long:"config" value-name:"FILE" description:"node settings (TOML)"`
+	Check   bool   `long:"check" description:"check the settings and exit"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	started := time.Now()
+	var opts options
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	if rest, err := parser.ParseArgs(args); err != nil || len(rest) > 0 {
+		return usage(err, rest, stdout, stderr)
+	}
+	if opts.Version {
+		_, _ = fmt.Fprintln(stdout, "toucangwd", version())
+		return exitOK
+	}
+	parsed, err := load(opts.Config)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if opts.Check {
+		_, _ = fmt.Fprintln(stdout, opts.Config+": ok")
+		return exitOK
+	}
+	return serve(parsed, uint64(started.UnixMilli()), stderr)
+}
+
+func usage(err error, rest []string, stdout, stderr io.Writer) int {
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(stdout, flagErr.Message)
+		return exitOK
+	}
+	if err == nil {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
+	return exitSettings
+}
+
+func load(path string) (*settings.Node, error) {
+	if path == "" {
+		return nil, errors.New("toucangwd: -c FILE is required")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("toucangwd: read settings: %w", err)
+	}
+	parsed, problems := settings.ParseNode(settings.Source{Name: path, Data: data})
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return parsed, nil
+}
+
+// serve runs the node. The first SIGTERM or SIGINT starts a planned stop, the
+// second ends it.
+func serve(parsed *settings.Node, incarnation uint64, stderr io.Writer) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	n, err := node.Listen(node.Options{
+		Settings:    parsed,
+		Incarnation: incarnation,
+		Policies:    node.DefaultPolicies(),
+		Output:      stderr,
+	})
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
+		return exitFailed
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	drain := make(chan struct{})
+	go func() {
+		<-signals
+		close(drain)
+		<-signals
+		cancel()
+	}()
+	switch err := n.Run(ctx, drain); {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, node.ErrCut):
+		return exitCut
+	default:
+		return exitFailed
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
--- a/node/config.go
+++ b/node/config.go
@@ -28,7 +28,7 @@
 	Route    route.Builder
 	Budget   retry.Builder
 	Pressure pressure.Builder
-	Keys     func(host member.HostID, incarnation uint64) once.Ledger
+	Keys     func(host member.HostID, incarnation uint64) (once.Ledger, error)
 }
 
 // Options describe a node.
--- /dev/null
+++ b/node/drain_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangw.example/standin/upstream"
+)
+
+// Guards that a planned stop cuts no request in flight, including its
+// sub-calls, and that the node ends by itself.
+func TestDrainFinishesCallsInFlight(t *testing.T) {
+	c := newCluster(t, "batchlog", "ledger", "quality")
+	c.nodes[0].upstream.SetMode(upstream.Mode{Slow: 20}) // 120 ms and more
+	const calls = 20
+	replies := make([]reply, calls)
+	errs := make([]error, calls)
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			url := c.nodes[0].url(fmt.Sprintf("/batchlog/quality/%d", i))
+			replies[i], errs[i] = trySend(http.MethodGet, url, nil, "")
+		})
+	}
+	require.Eventually(t, func() bool { return c.nodes[0].upstream.Counts().Runs == calls }, waitLimit, time.Millisecond)
+	c.nodes[0].startDrain()
+	wg.Wait()
+	for i := range calls {
+		require.NoError(t, errs[i])
+		require.Equal(t, http.StatusOK, replies[i].status, "%s", replies[i].body)
+	}
+	select {
+	case err := <-c.nodes[0].done:
+		require.NoError(t, err)
+		c.nodes[0].done <- nil
+	case <-time.After(waitLimit):
+		t.Fatal("the node did not end")
+	}
+}
+
+// Guards that a leaving host refuses new work as not run and that the other
+// nodes stop choosing it.
+func TestLeavingHostGetsNoWork(t *testing.T) {
+	c := newCluster(t, "ledger", "ledger", "batchlog")
+	leaving, stays, entry := c.nodes[0], c.nodes[1], c.nodes[2]
+	for i := range 20 {
+		r := send(t, http.MethodGet, entry.url(fmt.Sprintf("/ledger/ledger/%d", i)), nil, "")
+		require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	}
+	require.Positive(t, leaving.upstream.Counts().Runs)
+	require.Positive(t, stays.upstream.Counts().Runs)
+
+	leaving.startDrain()
+	refused := send(t, http.MethodGet, leaving.url("/ledger/ledger/x"), nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Equal(t, "not-run", refused.header.Get("Toucangw-Verdict"))
+	require.Equal(t, "leaving", refused.refusal(t)["reason"])
+	require.Eventually(t, func() bool {
+		for _, m := range entry.Status().Members {
+			if m.Host == string(leaving.host.ID) {
+				return m.Status == "leaving"
+			}
+		}
+		return false
+	}, 3*time.Second, 10*time.Millisecond, "the announcement did not reach the other node")
+	before := leaving.upstream.Counts().Runs
+	for i := range 20 {
+		r := send(t, http.MethodGet, entry.url(fmt.Sprintf("/ledger/ledger/y%d", i)), nil, "")
+		require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+	}
+	require.Equal(t, before, leaving.upstream.Counts().Runs)
+}
+
+// Guards that a drain that cannot end in time is reported as cut.
+func TestDrainTimeout(t *testing.T) {
+	c := newCluster(t, "ledger")
+	n := c.nodes[0]
+	n.settings.Limits.DrainTimeout = 200 * time.Millisecond
+	n.upstream.SetMode(upstream.Mode{Silent: true})
+	go func() { _, _ = trySend(http.MethodGet, n.url("/ledger/ledger/1"), nil, "") }()
+	require.Eventually(t, func() bool { return n.upstream.Counts().Runs == 1 }, waitLimit, time.Millisecond)
+	n.startDrain()
+	err := <-n.done
+	n.done <- err
+	require.ErrorIs(t, err, ErrCut)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -77,7 +77,11 @@
 
 func (n *Node) assemble(opts Options) error {
 	self := peerlink.Self{Host: member.HostID(n.settings.Host.ID), Incarnation: n.incarnation}
-	n.engine = engine.New(engineConfig(opts, self))
+	keys, err := opts.Policies.Keys(self.Host, self.Incarnation)
+	if err != nil {
+		return fmt.Errorf("key table: %w", err)
+	}
+	n.engine = engine.New(engineConfig(opts, self, keys))
 	n.links = peerlink.NewLinks(self, peerlink.Events{Leaving: n.peerLeaving, Silent: n.peerSilent})
 	var guarded driver.Upstream = noUpstream{}
 	if n.settings.Upstream.Address.IsValid() {
@@ -119,7 +123,7 @@
 	return n.listen()
 }
 
-func engineConfig(opts Options, self peerlink.Self) engine.Config {
+func engineConfig(opts Options, self peerlink.Self, keys once.Ledger) engine.Config {
 	h := opts.Settings.Host
 	return engine.Config{
 		Host:        self.Host,
@@ -133,7 +137,7 @@
 		Route:       opts.Policies.Route,
 		Budget:      opts.Policies.Budget,
 		Pressure:    opts.Policies.Pressure,
-		Keys:        opts.Policies.Keys(self.Host, self.Incarnation),
+		Keys:        keys,
 		ParseOwner:  once.ParseOwner,
 	}
 }
@@ -195,6 +199,23 @@
 	return nil
 }
 
+// Addrs are the addresses of the listeners.
+type Addrs struct {
+	Callers, Egress, Peers, Operator string
+}
+
+// Addrs returns the addresses of the listeners, for nodes that listen on any
+// free port.
+func (n *Node) Addrs() Addrs {
+	l := n.listeners
+	return Addrs{
+		Callers:  l.callers.Addr().String(),
+		Egress:   l.egress.Addr().String(),
+		Peers:    l.peers.Addr().String(),
+		Operator: l.operator.Addr().String(),
+	}
+}
+
 func (l *listeners) close() {
 	for _, lis := range []net.Listener{l.callers, l.egress, l.peers, l.operator} {
 		if lis != nil {
--- a/node/run.go
+++ b/node/run.go
@@ -68,7 +68,7 @@
 }
 
 func (n *Node) startServers(ctx context.Context, wg *sync.WaitGroup, failed chan<- error) {
-	http1 := func(server *http.Server, run func() error) func() error {
+	untilClosed := func(run func() error) func() error {
 		return func() error {
 			if err := run(); !errors.Is(err, http.ErrServerClosed) {
 				return err
@@ -77,9 +77,9 @@
 		}
 	}
 	l := n.listeners
-	serve(ctx, wg, "caller listener", http1(n.callers, func() error { return n.callers.Serve(l.callers) }), failed)
-	serve(ctx, wg, "egress listener", http1(n.egress, func() error { return n.egress.Serve(l.egress) }), failed)
-	serve(ctx, wg, "operator listener", http1(n.operator, func() error { return n.operator.Serve(l.operator) }), failed)
+	serve(ctx, wg, "caller listener", untilClosed(func() error { return n.callers.Serve(l.callers) }), failed)
+	serve(ctx, wg, "egress listener", untilClosed(func() error { return n.egress.Serve(l.egress) }), failed)
+	serve(ctx, wg, "operator listener", untilClosed(func() error { return n.operator.Serve(l.operator) }), failed)
 	serve(ctx, wg, "peer listener", func() error { return n.peers.Serve(l.peers) }, failed)
 }
 
