--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -36,8 +36,8 @@
 	}
 	select {
 	case err := <-c.nodes[0].done:
+		c.nodes[0].done <- err
 		require.NoError(t, err)
-		c.nodes[0].done <- nil
 	case <-time.After(waitLimit):
 		t.Fatal("the node did not end")
 	}
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -59,6 +59,9 @@
 	Owner func(key string) (once.Owner, bool)
 	// MaxHeader bounds the request headers in bytes; 0 for the default.
 	MaxHeader int
+	// Leaving reports whether the node stops; replies then ask callers to close
+	// their connections.
+	Leaving func() bool
 	// Egress makes the API of the local upstream instead of that of callers.
 	Egress bool
 }
@@ -72,6 +75,7 @@
 	app.Logger().SetLevel("disable")
 	app.Configure(iris.WithoutServerError(iris.ErrServerClosed), iris.WithoutBodyConsumptionOnUnmarshal,
 		iris.WithoutStartupLog, iris.WithoutPathCorrection)
+	app.UseRouter(a.closeWhenLeaving)
 	if !cfg.Egress {
 		app.Get("/.toucangw/keys/{key:path}", a.queryKey)
 		app.Delete("/.toucangw/keys/{key:path}", a.cancelKey)
@@ -95,6 +99,15 @@
 	}, nil
 }
 
+// closeWhenLeaving lets callers move to another node. Closing idle connections
+// instead could cut a request that is just arriving.
+func (a *api) closeWhenLeaving(ctx iris.Context) {
+	if a.cfg.Leaving() && !a.cfg.Egress {
+		ctx.Header("Connection", "close")
+	}
+	ctx.Next()
+}
+
 func (a *api) notFound(ctx iris.Context) {
 	r := verdict.Refuse(verdict.BadRequest, "the path has the form /<service>/<path>")
 	a.refuse(ctx, requestID(ctx), r, "", http.StatusNotFound)
--- a/node/node.go
+++ b/node/node.go
@@ -156,6 +156,7 @@
 		MaxBody:   n.maxBody,
 		MaxHeader: n.settings.Limits.MaxHeader,
 		Owner:     once.ParseOwner,
+		Leaving:   n.leaving.Load,
 	}
 	var err error
 	if n.callers, err = httpapi.NewServer(cfg); err != nil {
--- a/node/run.go
+++ b/node/run.go
@@ -18,8 +18,10 @@
 
 	idleCheck = 20 * time.Millisecond
 
-	// closeTimeout bounds the close of servers whose calls have all ended.
-	closeTimeout = 2 * time.Second
+	// closeTimeout bounds the close of servers whose calls have all ended. It
+	// is above the 5 s that net/http waits for the first request of a new
+	// connection.
+	closeTimeout = 7 * time.Second
 )
 
 // Run serves until drain is closed and the calls in flight have ended, and
@@ -100,7 +102,6 @@
 	started := time.Now()
 	n.driver.Step(engine.DrainStarted{})
 	n.announce()
-	n.callers.SetKeepAlivesEnabled(false)
 	timeout := time.NewTimer(n.settings.Limits.DrainTimeout)
 	defer timeout.Stop()
 	check := time.NewTicker(idleCheck)
--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,104 @@
+// Package relay forwards TCP connections and can make the open ones silent,
+// as a network does that drops packets of some flows.
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Relay is safe for concurrent use.
+type Relay struct {
+	lis    net.Listener
+	target string
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	pairs map[*pair]bool
+}
+
+type pair struct {
+	client, server net.Conn
+	silent         atomic.Bool
+}
+
+// Listen forwards connections to addr on to target.
+func Listen(addr, target string) (*Relay, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{lis: lis, target: target, pairs: make(map[*pair]bool)}
+	r.wg.Go(r.accept)
+	return r, nil
+}
+
+// Addr returns the address that clients connect to.
+func (r *Relay) Addr() string { return r.lis.Addr().String() }
+
+// Silence drops all bytes of the connections that are open now, in both
+// directions. They stay open, and new connections work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.silent.Store(true)
+	}
+}
+
+// Close ends all connections.
+func (r *Relay) Close() {
+	_ = r.lis.Close()
+	r.mu.Lock()
+	for p := range r.pairs {
+		p.close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+func (p *pair) close() {
+	_ = p.client.Close()
+	_ = p.server.Close()
+}
+
+func (r *Relay) accept() {
+	for {
+		client, err := r.lis.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		p := &pair{client: client, server: server}
+		r.mu.Lock()
+		r.pairs[p] = true
+		r.mu.Unlock()
+		r.wg.Go(func() { r.forward(p, client, server) })
+		r.wg.Go(func() { r.forward(p, server, client) })
+	}
+}
+
+func (r *Relay) forward(p *pair, from io.Reader, to io.Writer) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.silent.Load() {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	p.close()
+	r.mu.Lock()
+	delete(r.pairs, p)
+	r.mu.Unlock()
+}
