--- /dev/null
+++ b/cmd/toucangwctl/key.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+const keyHelp = `Asks any node for the state of a once-only key: done with the whole answer, running, queued, unseen, fenced or lost. With --cancel the key is fenced if it has not begun; "not-run" then holds for good.
+
+Examples:
+  toucangwctl key --node 127.0.0.1:7400 --caller scheldt KEY
+  toucangwctl key --node 127.0.0.1:7400 --caller scheldt --cancel KEY`
+
+func init() {
+	register(command{
+		name:  "key",
+		short: "Query or cancel a once-only key",
+		long:  keyHelp,
+		build: func(env *environment) any { return &keyCommand{env: env} },
+	})
+}
+
+type keyCommand struct {
+	Callers string `short:"n" long:"node" value-name:"IP:PORT" required:"true" description:"caller listener of any node"`
+	Caller  string `long:"caller" required:"true" description:"customer that the key was issued to"`
+	Cancel  bool   `long:"cancel" description:"make sure that the key never runs, if it has not begun"`
+	JSON    bool   `long:"json" description:"print the state as JSON"`
+	Args    struct {
+		Key string `positional-arg-name:"KEY"`
+	} `positional-args:"true" required:"true"`
+
+	env *environment
+}
+
+// keyState is what the command prints.
+type keyState struct {
+	State   string `json:"state"`
+	Verdict string `json:"verdict"`
+	Status  int    `json:"status,omitempty"` // of the stored answer
+	Answer  string `json:"answer,omitempty"` // its body
+}
+
+// Execute implements flags.Commander.
+func (c *keyCommand) Execute([]string) error {
+	method := http.MethodGet
+	if c.Cancel {
+		method = http.MethodDelete
+	}
+	header := http.Header{"Toucangw-Caller": {c.Caller}}
+	resp, err := request(method, "http://"+c.Callers+"/.toucangw/keys/"+c.Args.Key, header, nil)
+	if err != nil {
+		return err
+	}
+	state := keyState{
+		State:   resp.header.Get("Toucangw-Key-State"),
+		Verdict: resp.header.Get("Toucangw-Verdict"),
+	}
+	if state.State == "" {
+		return fmt.Errorf("%s (%s): %s", resp.status, state.Verdict, resp.body)
+	}
+	if state.State == "done" {
+		state.Status = resp.code
+		state.Answer = string(resp.body)
+	}
+	if c.JSON {
+		return json.NewEncoder(c.env.out).Encode(state)
+	}
+	_, err = fmt.Fprintf(c.env.out, "%s (%s)\n", state.State, state.Verdict)
+	if err == nil && state.State == "done" {
+		_, err = fmt.Fprintf(c.env.out, "status %d\n%s\n", state.Status, state.Answer)
+	}
+	return err
+}
