toucangwctl: give the loglevel help its examples heading

Cause: TestHelp checks every command's help and found one without the heading. Change: one word. Conclusion: every command's help has examples.

--- a/cmd/toucangwctl/loglevel.go
+++ b/cmd/toucangwctl/loglevel.go
@@ -12,7 +12,7 @@
 	register(command{
 		name:  "loglevel",
 		short: "Change the log level of a running node",
-		long:  "Changes the log level of a running node.\n\nExample:\n  toucangwctl loglevel --node 127.0.0.1:7402 debug",
+		long:  "Changes the log level of a running node.\n\nExamples:\n  toucangwctl loglevel --node 127.0.0.1:7402 debug",
 		build: func(env *environment) any { return &logLevelCommand{env: env} },
 	})
 }
