core/engine: resend keys to their owner, judge shared keys truthfully

Cause: deliberate faults in a copy of the engine showed paths that the histories did not reach; stricter histories then found faults. A once-only call was never sent again to its owner, because the budget saw an unknown outcome of a request that is not idempotent. Change: a resend to the owner counts as harmless and is made only while the owner has not spoken; known outcomes are kept; only the owner's word counts for a shared key; a key reported as not run is forgotten.

--- a/core/engine/attempt.go
+++ b/core/engine/attempt.go
@@ -166,10 +166,10 @@
 		v = ownerVerdict(rec, refusal)
 	}
 	failure := retry.Failure{Verdict: v, Reason: refusal.Reason, Idempotent: rec.req.Idempotent}
-	if rec.req.Key == "" {
-		rec.known = stronger(rec.known, v)
-	}
-	if e.retry(now, rec, failure) {
+	rec.known = stronger(rec.known, v)
+	// Once the owner has spoken for a key, sending it again changes nothing.
+	settled := rec.req.Key != "" && (v != verdict.NotRun || !rec.ownKey)
+	if !settled && e.retry(now, rec, failure) {
 		return
 	}
 	final := *refusal
@@ -190,7 +190,7 @@
 	if refusal.Reason != verdict.NotMember && refusal.Reason != verdict.BadRequest {
 		return verdict.NotRun
 	}
-	if rec.ownKey {
+	if rec.ownKey && !rec.keyShared() {
 		return rec.known
 	}
 	return verdict.MayHaveRun
@@ -214,6 +214,9 @@
 		refusal.Reason = verdict.OwnerGone
 	}
 	rec.known = stronger(rec.known, refusal.Verdict)
+	if rec.keyShared() {
+		rec.known = stronger(rec.known, verdict.MayHaveRun)
+	}
 	refusal.Verdict = rec.known
 	failure := retry.Failure{Verdict: refusal.Verdict, Reason: refusal.Reason, Idempotent: rec.req.Idempotent}
 	if !ev.Timeout && e.retry(now, rec, failure) {
@@ -270,6 +273,9 @@
 		failure.Reason != verdict.UpstreamFailed {
 		return false
 	}
+	// The owner recognises the key, so sending it again is harmless whatever
+	// became of the earlier attempt.
+	failure.Idempotent = true
 	if !e.ownerListed(rec) || !e.budget.Allow(now, rec.req.Service, failure) || !rec.pool.Spend() {
 		return false
 	}
--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -57,6 +57,7 @@
 	open   bool
 	failed bool
 	key    string // of a once-only call, kept so that a repeat is recognised
+	shared bool   // more than one call has used the key
 }
 
 func (e *Engine) callArrived(now time.Time, ev CallArrived) {
@@ -180,6 +181,7 @@
 	rec.sub = sub
 	rec.req.Key = sub.key
 	if sub.key != "" {
+		sub.shared = true
 		rec.known = verdict.MayHaveRun
 	}
 	return nil
@@ -222,9 +224,11 @@
 }
 
 // honestVerdict limits a verdict to what is known. A caller's key may have
-// been submitted through another node, so only its owner can say "not run".
+// been submitted through another node and a shared key by another call, so only
+// its owner can say "not run".
 func (e *Engine) honestVerdict(rec *entryCall, claimed verdict.Verdict) verdict.Verdict {
-	if rec.req.Key != "" && !rec.ownKey && claimed == verdict.NotRun {
+	elsewhere := !rec.ownKey || rec.keyShared()
+	if rec.req.Key != "" && elsewhere && claimed == verdict.NotRun {
 		return verdict.MayHaveRun
 	}
 	return stronger(rec.known, claimed)
@@ -257,6 +261,9 @@
 		rec.sub.failed = answer.Answer == nil || answer.Answer.Status >= http.StatusInternalServerError
 	}
 	answer.ID = rec.id
+	if answer.Refusal != nil && answer.Refusal.Verdict == verdict.NotRun {
+		e.forgetSubKey(rec)
+	}
 	if answer.Refusal != nil {
 		e.recordRefusal(rec, answer.Refusal)
 	}
--- a/core/engine/keys.go
+++ b/core/engine/keys.go
@@ -121,8 +121,10 @@
 	}
 	if rec.sub.key == "" {
 		rec.sub.key = key
+		rec.sub.shared = false
 		return
 	}
+	rec.sub.shared = true
 	rec.req.Key = rec.sub.key
 	rec.known = verdict.MayHaveRun
 }
@@ -144,6 +146,11 @@
 	e.refuseEntry(now, rec, &final)
 }
 
+// keyShared reports whether another outgoing call may have submitted the key.
+func (rec *entryCall) keyShared() bool {
+	return rec.sub != nil && rec.sub.shared && rec.sub.key == rec.req.Key
+}
+
 // dropKey forgets a key that is proven never to run.
 func (e *Engine) dropKey(rec *entryCall) {
 	e.forgetSubKey(rec)
@@ -151,8 +158,9 @@
 	rec.known = verdict.NotRun
 }
 
-// forgetSubKey lets a repeat of an outgoing call get another key. A key that a
-// concurrent repeat has obtained since is kept.
+// forgetSubKey lets a repeat of an outgoing call get another key after this one
+// was proven never to run. A key that a concurrent repeat has obtained since is
+// kept.
 func (e *Engine) forgetSubKey(rec *entryCall) {
 	if rec.sub != nil && rec.sub.key == rec.req.Key {
 		rec.sub.key = ""
--- a/core/internal/history/setup.go
+++ b/core/internal/history/setup.go
@@ -30,6 +30,7 @@
 	signPath   = "/sign"
 	entryPath  = "/entry"
 	appendPath = "/append"
+	notePath   = "/note" // no kind: neither idempotent nor once-only
 )
 
 var customers = [...]string{"antwerp", "ghent"}
@@ -108,6 +109,7 @@
 	if w.opt.Ledger != nil {
 		keys = w.opt.Ledger(keys)
 	}
+	n.keys = keys
 	var budget retry.Builder = retry.NewBudget
 	if w.generous {
 		budget = baseline.NewUnlimitedBudget
--- a/core/internal/history/world.go
+++ b/core/internal/history/world.go
@@ -197,6 +197,8 @@
 	attempts    map[attemptID]*attempt
 	replies     map[uint64]func(engine.Action)
 	recent      map[string]time.Duration
+	keys        once.Ledger
+	left        map[member.HostID]uint64 // incarnations that said here that they are leaving
 }
 
 func (n *node) clock() time.Time {
@@ -218,6 +220,7 @@
 	n.draining, n.woke, n.pausedUntil = false, false, 0
 	n.entries, n.peers = map[uint64]*entry{}, map[uint64]*peerCall{}
 	n.runs, n.attempts = map[uint64]*run{}, map[attemptID]*attempt{}
+	n.left = map[member.HostID]uint64{}
 	n.replies, n.recent = map[uint64]func(engine.Action){}, map[string]time.Duration{}
 	source := rand.New(rand.NewPCG(w.opt.Seed, uint64(n.index)<<32|n.host.Incarnation))
 	n.eng = engine.New(w.engineConfig(n, source))
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -88,7 +88,7 @@
 	switch f.Reason {
 	case verdict.QueueFull, verdict.DeadlineUnmet, verdict.Pressure, verdict.UpstreamShed:
 		return f.RoomElsewhere
-	case verdict.ConnectionLost, verdict.UpstreamFailed, verdict.NotWhole,
+	case verdict.ConnectionLost, verdict.OwnerGone, verdict.UpstreamFailed, verdict.NotWhole,
 		verdict.Leaving, verdict.Starting, verdict.Paused, verdict.StaleIncarnation,
 		verdict.NotMember, verdict.WrongService:
 		return true
