--- /dev/null
+++ b/settings/reference/main_test.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a reference page that lags behind the checks. To update it,
+// run `go generate ./settings`.
+func TestPageIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../../docs/reference-settings.md")
+	require.NoError(t, err)
+	updated, err := update(string(page))
+	require.NoError(t, err)
+	require.Equal(t, updated, string(page), "run go generate ./settings")
+}
+
+// Guards against a page without markers that is rewritten in the wrong place.
+func TestMarkersAreRequired(t *testing.T) {
+	_, err := update("<!-- generated: base -->\n")
+	require.ErrorContains(t, err, `no markers for the part "base"`)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,8 @@
 // judges the same files in the same way.
 package settings
 
+//go:generate go run ./reference ../docs/reference-settings.md
+
 import (
 	"maps"
 	"slices"
