policy, engine: refuse callers of internal kinds; index kinds by route

Cause: sub-calls are kinds of their own with the importance of their parent, so a caller could ask for one directly and be treated as critical; matching walked all kinds of the deployment, twice per call. Engine tests for this, for repeats, for mixed outcomes, for foreign keys and for a late host list.

--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -99,7 +99,7 @@
 }
 
 func (e *Engine) describeCaller(now time.Time, rec *entryCall, ev CallArrived, kind *policy.Kind) *verdict.Refusal {
-	if kind == nil {
+	if kind == nil || kind.Internal {
 		return verdict.Refuse(verdict.UnknownKind,
 			fmt.Sprintf("no kind is configured for %s %s of service %q", ev.Method, ev.Path, ev.Service))
 	}
--- /dev/null
+++ b/core/engine/entry_test.go
@@ -0,0 +1,143 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"toucangw.example/core/admit"
+	"toucangw.example/core/call"
+	"toucangw.example/core/engine"
+	"toucangw.example/core/member"
+	"toucangw.example/core/once"
+	"toucangw.example/core/policy"
+	"toucangw.example/core/pressure"
+	"toucangw.example/core/retry"
+	"toucangw.example/core/route"
+	"toucangw.example/core/verdict"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// newNode returns the engine of host a, which guards service "ledger", with
+// hosts b and c beside it.
+func newNode(t *testing.T) *engine.Engine {
+	t.Helper()
+	keys, err := once.New(once.Config{
+		Host: "a", Incarnation: 1, Start: start, Secret: make([]byte, once.SecretLen),
+		Nonce: func() uint64 { return 7 }, Lifetime: time.Minute, MaxKeys: 10, MaxAnswerBytes: 1 << 10,
+	})
+	require.NoError(t, err)
+	e := engine.New(engine.Config{
+		Host: "a", Incarnation: 1, Zone: "z", Service: "ledger",
+		Random: func(int) int { return 0 }, Token: func() string { return "token" },
+		Admit: admit.New, Route: route.New, Budget: retry.NewBudget, Pressure: pressure.New,
+		Keys: keys, ParseOwner: once.ParseOwner,
+	})
+	e.Step(start, engine.PolicyChanged{Policy: &policy.Policy{
+		Services: map[string]*policy.Service{"ledger": {Name: "ledger", Slots: 4}},
+		Callers:  map[string]*policy.Caller{"polder": {Name: "polder", Share: 1}},
+		Limits:   policy.Limits{MaxDepth: 25},
+		Kinds: []*policy.Kind{
+			{Name: "check", Service: "ledger", Method: "GET", PathPrefix: "/check", Importance: call.Critical,
+				Internal: true, Deadline: time.Second, Cost: time.Millisecond, TreeCost: time.Millisecond},
+			{Name: "read", Service: "ledger", Method: "GET", PathPrefix: "/", Importance: call.Normal, Worth: 1,
+				Deadline: time.Second, ExtraAttempts: 2, Cost: time.Millisecond, TreeCost: time.Millisecond},
+			{Name: "sign", Service: "ledger", Method: "POST", PathPrefix: "/", Importance: call.Critical, Worth: 9,
+				OnceOnly: true, Deadline: time.Second, ExtraAttempts: 2, Cost: time.Millisecond, TreeCost: time.Millisecond},
+		},
+	}})
+	e.Step(start, engine.HostsChanged{Hosts: map[string][]member.Host{"ledger": {
+		{ID: "b", Zone: "z", Service: "ledger", Incarnation: 5},
+		{ID: "c", Zone: "z", Service: "ledger", Incarnation: 5},
+	}}})
+	return e
+}
+
+func callFrom(id call.ID, method, path string) engine.CallArrived {
+	return engine.CallArrived{
+		ID: id, Service: "ledger", Method: method, Path: path, Caller: "polder", RequestID: "r", Digest: 1,
+	}
+}
+
+// only returns the action of type T, which must occur exactly once.
+func only[T engine.Action](t *testing.T, actions []engine.Action) T {
+	t.Helper()
+	var found []T
+	for _, a := range actions {
+		if match, ok := a.(T); ok {
+			found = append(found, match)
+		}
+	}
+	require.Len(t, found, 1, "%v", actions)
+	return found[0]
+}
+
+// Guards against callers that take the importance of a sub-call by asking for
+// it directly.
+func TestCallerCannotUseInternalKind(t *testing.T) {
+	e := newNode(t)
+	answer := only[engine.AnswerCaller](t, e.Step(start, callFrom(1, "GET", "/check/1")))
+	assert.Equal(t, verdict.UnknownKind, answer.Refusal.Reason)
+	assert.Equal(t, verdict.NotRun, answer.Refusal.Verdict)
+	assert.True(t, e.Idle())
+}
+
+// Guards against a second grant of retry credit to a caller's own repeat.
+func TestRepeatedRequestGetsNoCredit(t *testing.T) {
+	e := newNode(t)
+	first := only[engine.SendCall](t, e.Step(start, callFrom(1, "GET", "/x")))
+	second := only[engine.SendCall](t, e.Step(start, callFrom(2, "GET", "/x")))
+	assert.Equal(t, 1, first.Call.Credit)
+	assert.Zero(t, second.Call.Credit)
+}
+
+// Guards against "not run" after an attempt with an unknown outcome: the
+// second host's refusal says nothing about the first.
+func TestUnknownOutcomeOutweighsLaterRefusal(t *testing.T) {
+	e := newNode(t)
+	sent := only[engine.SendCall](t, e.Step(start, callFrom(1, "GET", "/x")))
+	again := only[engine.SendCall](t, e.Step(start, engine.PeerFailed{ID: 1, Attempt: sent.Attempt, Sent: true}))
+	require.NotEqual(t, sent.Host.ID, again.Host.ID)
+	reply := engine.Reply{RequestID: "r", Refusal: verdict.Refuse(verdict.KeyMismatch, "")}
+	answer := only[engine.AnswerCaller](t, e.Step(start, engine.PeerReplied{ID: 1, Attempt: again.Attempt, Reply: reply}))
+	assert.Equal(t, verdict.MayHaveRun, answer.Refusal.Verdict)
+}
+
+// Guards against "not run" by a node that does not own the key: the same key
+// may have been submitted through another node.
+func TestOnlyTheOwnerSaysNotRunForAKey(t *testing.T) {
+	e := newNode(t)
+	other, err := once.New(once.Config{
+		Host: "gone", Incarnation: 9, Start: start, Secret: make([]byte, once.SecretLen),
+		Nonce: func() uint64 { return 1 }, Lifetime: time.Minute, MaxKeys: 1, MaxAnswerBytes: 1,
+	})
+	require.NoError(t, err)
+	key, refusal := other.Issue(start, "ledger", "polder")
+	require.Nil(t, refusal)
+	ev := callFrom(1, "POST", "/sign")
+	ev.Key = key
+	answer := only[engine.AnswerCaller](t, e.Step(start, ev))
+	assert.Equal(t, verdict.OwnerGone, answer.Refusal.Reason)
+	assert.Equal(t, verdict.MayHaveRun, answer.Refusal.Verdict)
+}
+
+// Guards against work for a host that said it is leaving, although a late list
+// still shows it as live.
+func TestLateListDoesNotBringBackLeavingHost(t *testing.T) {
+	e := newNode(t)
+	sent := only[engine.SendCall](t, e.Step(start, callFrom(1, "GET", "/x")))
+	e.Step(start, engine.PeerReplied{ID: 1, Attempt: 1, Reply: engine.Reply{
+		RequestID: "r", Incarnation: 5, Leaving: true, Answer: &call.Answer{Status: 200},
+	}})
+	e.Step(start, engine.HostsChanged{Hosts: map[string][]member.Host{"ledger": {
+		{ID: "b", Zone: "z", Service: "ledger", Incarnation: 5},
+		{ID: "c", Zone: "z", Service: "ledger", Incarnation: 5},
+	}}})
+	for id := call.ID(2); id < 30; id++ {
+		next := only[engine.SendCall](t, e.Step(start, callFrom(id, "GET", "/x")))
+		require.NotEqual(t, sent.Host.ID, next.Host.ID)
+	}
+}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -18,8 +18,12 @@
 	Kinds    []*Kind            // in file order; the first match wins
 	Callers  map[string]*Caller // customers by name
 	Limits   Limits
+
+	byRoute map[route][]*Kind // nil until Index
 }
 
+type route struct{ service, method string }
+
 // Service describes the upstreams of one service.
 type Service struct {
 	Name         string
@@ -41,6 +45,7 @@
 	Importance    call.Importance
 	Worth         float64
 	OnceOnly      bool
+	Internal      bool // made by upstreams only, refused when a caller asks for it
 	Deadline      time.Duration
 	ExtraAttempts int           // retry credit of one caller's request
 	Cost          time.Duration // expected slot time at the service itself
@@ -76,7 +81,11 @@
 
 // Match returns the kind of a request, or nil if none is configured.
 func (p *Policy) Match(service, method, path string) *Kind {
-	for _, k := range p.Kinds {
+	kinds := p.Kinds
+	if p.byRoute != nil {
+		kinds = p.byRoute[route{service, method}]
+	}
+	for _, k := range kinds {
 		if k.Service == service && k.Method == method && strings.HasPrefix(path, k.PathPrefix) {
 			return k
 		}
@@ -84,6 +93,16 @@
 	return nil
 }
 
+// Index speeds up Match. It is called once, before the policy is shared. The
+// target size has some 2,600 kinds, of which a few belong to one route.
+func (p *Policy) Index() {
+	p.byRoute = make(map[route][]*Kind)
+	for _, k := range p.Kinds {
+		r := route{k.Service, k.Method}
+		p.byRoute[r] = append(p.byRoute[r], k)
+	}
+}
+
 // Kind returns the kind with a name, or nil.
 func (p *Policy) Kind(name string) *Kind {
 	for _, k := range p.Kinds {
--- a/settings/build.go
+++ b/settings/build.go
@@ -27,6 +27,7 @@
 	for _, e := range doc.entries[tableCaller] {
 		p.Callers[e.name] = built(e, buildCaller)
 	}
+	p.Index()
 	return p
 }
 
@@ -73,6 +74,7 @@
 		Importance:    importance,
 		Worth:         must[float64](e, "worth"),
 		OnceOnly:      must[bool](e, "once_only"),
+		Internal:      must[bool](e, "internal"),
 		Deadline:      must[time.Duration](e, "deadline"),
 		ExtraAttempts: must[int](e, "extra_attempts"),
 		Cost:          must[time.Duration](e, "cost"),
--- a/settings/tables.go
+++ b/settings/tables.go
@@ -65,6 +65,8 @@
 		{Name: "worth", Type: TypeNumber, Default: 1.0, Min: 0, AboveMin: true, Max: 1e6, Overlay: true,
 			Help: "worth of a complete answer to the customer, relative to other kinds"},
 		{Name: "once_only", Type: TypeBool, Default: false, Help: "the request is not idempotent and runs at most once for its key"},
+		{Name: "internal", Type: TypeBool, Default: false,
+			Help: "only upstreams make such requests, as sub-calls; one from a caller is refused"},
 		{Name: "deadline", Type: TypeDuration, Required: true, Min: float64(time.Millisecond), Max: float64(10 * time.Minute), Overlay: true,
 			Help: "time in which the caller needs the answer; at least tree_cost"},
 		{Name: "extra_attempts", Type: TypeInteger, Default: 2, Min: 0, Max: 16, Overlay: true,
