--- /dev/null
+++ b/bench/oracle.go
@@ -0,0 +1,220 @@
+package bench
+
+import (
+	"math"
+	"time"
+
+	"toucangw.example/core/call"
+)
+
+// conditions are the capacities that hold for some time, as factors on the
+// normal ones.
+type conditions struct {
+	slots map[string]float64 // share of the slots that is usable, by service
+	slow  map[string]float64 // factor on the slot time at the service itself
+}
+
+func (c conditions) slotShare(service string) float64 {
+	if f, ok := c.slots[service]; ok {
+		return f
+	}
+	return 1
+}
+
+func (c conditions) slowness(service string) float64 {
+	if f, ok := c.slow[service]; ok {
+		return f
+	}
+	return 1
+}
+
+// under returns the deployment with the slot times of some conditions.
+func (d *Deployment) under(c conditions) *Deployment {
+	changed := *d
+	changed.Kinds = make([]Kind, len(d.Kinds))
+	for i, k := range d.Kinds {
+		k.Chain = append([]Stage(nil), k.Chain...)
+		for j := range k.Chain {
+			k.Chain[j].Cost = time.Duration(float64(k.Chain[j].Cost) * c.slowness(k.Chain[j].Service))
+		}
+		changed.Kinds[i] = k
+	}
+	return &changed
+}
+
+// use returns the seconds for which one request of each kind holds slots of
+// each service.
+func (d *Deployment) use() [][]float64 {
+	index := map[string]int{}
+	for i, s := range d.Services {
+		index[s.Name] = i
+	}
+	out := make([][]float64, len(d.Services))
+	for i := range out {
+		out[i] = make([]float64, len(d.Kinds))
+	}
+	for j := range d.Kinds {
+		k := &d.Kinds[j]
+		for i, held := range d.hold(k) {
+			out[index[k.Chain[i].Service]][j] += held.Seconds()
+		}
+	}
+	return out
+}
+
+func (d *Deployment) capacities(c conditions) []float64 {
+	out := make([]float64, len(d.Services))
+	for i, s := range d.Services {
+		out[i] = float64(s.Hosts*s.Slots) * c.slotShare(s.Name)
+	}
+	return out
+}
+
+// Capacity returns the requests per second of the usual mix that fill the
+// bottleneck service.
+func (d *Deployment) Capacity() float64 {
+	use := d.use()
+	capacity := d.capacities(conditions{})
+	best := math.Inf(1)
+	for i := range use {
+		sum := 0.0
+		for j := range use[i] {
+			sum += d.Kinds[j].Mix * use[i][j]
+		}
+		if sum > 0 {
+			best = math.Min(best, capacity[i]/sum)
+		}
+	}
+	return best
+}
+
+// oracle returns the greatest worth per second that fits the slots when rate
+// requests per second of the usual mix arrive. It knows the future, waits for
+// nothing and takes fractions of requests, so it is an upper bound.
+func (d *Deployment) oracle(rate float64, c conditions) (float64, []float64) {
+	changed := d.under(c)
+	use := changed.use()
+	capacity := d.capacities(c)
+	worth := make([]float64, len(d.Kinds))
+	most := make([]float64, len(d.Kinds))
+	for j, k := range d.Kinds {
+		worth[j] = k.Worth
+		most[j] = rate * k.Mix
+	}
+	return maximize(worth, most, use, capacity)
+}
+
+// criticalFits reports whether the critical requests alone fit the slots.
+func (d *Deployment) criticalFits(rate float64, c conditions) bool {
+	use := d.under(c).use()
+	for i, most := range d.capacities(c) {
+		sum := 0.0
+		for j, k := range d.Kinds {
+			if k.Importance == call.Critical {
+				sum += rate * k.Mix * use[i][j]
+			}
+		}
+		if sum > most {
+			return false
+		}
+	}
+	return true
+}
+
+// maximize solves: greatest worth*x with 0 <= x <= most and use*x <= capacity.
+// The optimum lies where as many constraints as variables hold with equality;
+// there are few of either, so all combinations are tried.
+func maximize(worth, most []float64, use [][]float64, capacity []float64) (float64, []float64) {
+	n := len(worth)
+	var rows [][]float64
+	var bounds []float64
+	for j := range n {
+		unit := make([]float64, n)
+		unit[j] = 1
+		rows = append(rows, unit, unit)
+		bounds = append(bounds, 0, most[j])
+	}
+	rows = append(rows, use...)
+	bounds = append(bounds, capacity...)
+	best := 0.0
+	at := make([]float64, n)
+	chosen := make([]int, 0, n)
+	var try func(from int)
+	try = func(from int) {
+		if len(chosen) == n {
+			x, ok := solve(rows, bounds, chosen)
+			if ok && feasible(x, most, use, capacity) {
+				if value := dot(worth, x); value > best {
+					best = value
+					at = x
+				}
+			}
+			return
+		}
+		for i := from; i < len(rows); i++ {
+			chosen = append(chosen, i)
+			try(i + 1)
+			chosen = chosen[:len(chosen)-1]
+		}
+	}
+	try(0)
+	return best, at
+}
+
+func dot(a, b []float64) float64 {
+	sum := 0.0
+	for i := range a {
+		sum += a[i] * b[i]
+	}
+	return sum
+}
+
+func feasible(x, most []float64, use [][]float64, capacity []float64) bool {
+	const slack = 1e-7
+	for j := range x {
+		if x[j] < -slack*(1+most[j]) || x[j] > most[j]*(1+slack)+slack {
+			return false
+		}
+	}
+	for i := range use {
+		if dot(use[i], x) > capacity[i]*(1+slack)+slack {
+			return false
+		}
+	}
+	return true
+}
+
+// solve returns the point at which the chosen rows hold with equality.
+func solve(rows [][]float64, bounds []float64, chosen []int) ([]float64, bool) {
+	n := len(chosen)
+	m := make([][]float64, n)
+	for i, c := range chosen {
+		m[i] = append(append([]float64(nil), rows[c]...), bounds[c])
+	}
+	for col := range n {
+		pivot := col
+		for i := col; i < n; i++ {
+			if math.Abs(m[i][col]) > math.Abs(m[pivot][col]) {
+				pivot = i
+			}
+		}
+		if math.Abs(m[pivot][col]) < 1e-12 {
+			return nil, false
+		}
+		m[col], m[pivot] = m[pivot], m[col]
+		for i := range n {
+			if i == col {
+				continue
+			}
+			f := m[i][col] / m[col][col]
+			for j := col; j <= n; j++ {
+				m[i][j] -= f * m[col][j]
+			}
+		}
+	}
+	x := make([]float64, n)
+	for i := range n {
+		x[i] = m[i][n] / m[i][i]
+	}
+	return x, true
+}
