limit, admit: judge an upstream by its own time; shorter queues for sub-calls

Cause: the limit compared slot time including sub-calls with a fixed cost per kind, so a changed mix or a slow deep service looked like a slow upstream and started trials at healthy services. Sub-calls waited up to a tenth of their time left and held slots of their parents. Change: the engine reports the time spent in sub-calls; the reference is the best own time per kind; sub-calls wait 3% of the time left, critical ones 10%.

--- a/bench/node.go
+++ b/bench/node.go
@@ -15,9 +15,14 @@
 	"toucangw.example/core/verdict"
 )
 
-// silentAfter is the time after which a runtime reports a connection without
-// any answer as failed; see docs/design.md 2.12.
-const silentAfter = 300 * time.Millisecond
+const (
+	// silentAfter is the time after which a runtime reports a connection
+	// without any answer as failed; see docs/design.md 2.12.
+	silentAfter = 300 * time.Millisecond
+	// connectTimeout ends the opening of a connection to a host that does not
+	// answer.
+	connectTimeout = 100 * time.Millisecond
+)
 
 // attemptRef names an attempt of an entry call.
 type attemptRef struct {
@@ -52,6 +57,7 @@
 	inbound map[call.ID]*submission
 	egress  map[call.ID]*run
 	issuing map[call.ID]attemptRef
+	silent  map[*node]time.Duration // time at which a connection counts as failed
 }
 
 func (n *node) id() call.ID {
@@ -70,6 +76,7 @@
 	n.inbound = map[call.ID]*submission{}
 	n.egress = map[call.ID]*run{}
 	n.issuing = map[call.ID]attemptRef{}
+	n.silent = map[*node]time.Duration{}
 	random := rand.New(rand.NewPCG(w.seed, uint64(n.epoch)<<32|uint64(n.zone)<<16|uint64(len(n.host.ID))+hash(string(n.host.ID))))
 	tokens := 0
 	keys, err := once.New(once.Config{
@@ -162,9 +169,34 @@
 		w.clock.after(2*w.latency(n, to), func() { ref.fail(false) })
 		return
 	}
-	if !n.post(to, func() { to.receive(id, n, a, ref) }) {
-		w.clock.after(silentAfter, func() { ref.fail(true) })
+	if n.post(to, func() { to.receive(id, n, a, ref) }) {
+		return
+	}
+	if at, known := n.silent[to]; known && at <= w.clock.now {
+		w.clock.after(connectTimeout, func() { ref.fail(false) })
+		return
+	}
+	n.lost(to)
+}
+
+// lost records that a message on the connection between two nodes vanished.
+// When the connection counts as silent, everything open on it fails at once.
+func (n *node) lost(to *node) {
+	if _, known := n.silent[to]; known {
+		return
 	}
+	n.silent[to] = n.world.clock.now + silentAfter
+	epoch := n.epoch
+	n.world.clock.after(silentAfter, func() {
+		if n.epoch != epoch || n.down {
+			return
+		}
+		for _, id := range sorted(n.sends) {
+			if p, open := n.sends[id]; open && p.target == to {
+				attemptRef{node: n, epoch: epoch, id: id, attempt: p.attempt}.fail(true)
+			}
+		}
+	})
 }
 
 func (n *node) receive(id call.ID, from *node, a engine.SendCall, ref attemptRef) {
@@ -223,8 +255,8 @@
 		}
 		ref.node.step(engine.PeerReplied{ID: ref.id, Attempt: ref.attempt, Reply: a.Reply})
 	})
-	if !delivered {
-		n.world.clock.after(silentAfter, func() { ref.fail(true) })
+	if !delivered && ref.node.epoch == ref.epoch && !ref.node.down {
+		ref.node.lost(n)
 	}
 }
 
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -190,6 +190,7 @@
 				if n.zone == zones-1 {
 					n.cut = cut
 				}
+				clear(n.silent)
 			}
 		}
 	}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -22,6 +22,9 @@
 // Outcome tells how a run ended.
 type Outcome struct {
 	Latency time.Duration
+	// Waited is the part of Latency spent waiting for sub-calls, which says
+	// nothing about the upstream itself.
+	Waited time.Duration
 	// Shed is set when the upstream itself refused for load.
 	Shed bool
 	// Failed is set when the upstream did not answer (connection, deadline).
--- a/core/admit/guard.go
+++ b/core/admit/guard.go
@@ -16,8 +16,9 @@
 	// spend in one queue.
 	queueShare = 0.25
 	// deepQueueShare applies to sub-calls, which hold slots of their parents
-	// while they wait.
-	deepQueueShare = 0.1
+	// while they wait, and urgentDeepShare to critical ones.
+	deepQueueShare  = 0.03
+	urgentDeepShare = 0.1
 	// minRetryAfter is the shortest advice: the demand estimate needs about
 	// this time to follow a change.
 	minRetryAfter = 100 * time.Millisecond
@@ -89,11 +90,7 @@
 	if wait+e.cost > left {
 		return verdict.DeadlineUnmet, false
 	}
-	share := queueShare
-	if e.req.Depth > 0 {
-		share = deepQueueShare
-	}
-	longest := min(g.maxWait(), time.Duration(share*float64(left)))
+	longest := min(g.maxWait(), time.Duration(waitShare(e.req)*float64(left)))
 	if wait > longest {
 		return verdict.QueueFull, false
 	}
@@ -107,6 +104,18 @@
 	return "", true
 }
 
+// waitShare returns the part of its time left that a call may wait.
+func waitShare(req *call.Request) float64 {
+	switch {
+	case req.Depth == 0:
+		return queueShare
+	case req.Rank.Importance() == call.Critical:
+		return urgentDeepShare
+	default:
+		return deepQueueShare
+	}
+}
+
 // Done implements Admitter.
 func (g *guard) Done(now time.Time, id call.ID, out Outcome) []Decision {
 	r, ok := g.running[id]
@@ -130,8 +139,9 @@
 	case out.Shed:
 		g.limit.Shed(now, len(g.running))
 	default:
-		g.timeOf(r.kind, r.nominal).observe(now, out.Latency)
-		g.limit.Answered(now, r.nominal)
+		t := g.timeOf(r.kind, r.nominal)
+		t.observe(now, out.Latency, out.Latency-out.Waited)
+		g.limit.Answered(now, out.Latency-out.Waited, t.reference())
 	}
 }
 
--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -154,7 +154,7 @@
 		rec.req.Deadline = now.Add(ev.Timeout)
 	}
 	rec.class = pressure.Class{Service: ev.Service, Kind: rec.req.Kind, Caller: rec.req.Caller}
-	parent.children[rec.id] = rec
+	parent.callsOut(now, rec)
 	if rec.req.Depth > e.policy.Limits.MaxDepth {
 		return verdict.Refuse(verdict.DepthExceeded,
 			fmt.Sprintf("call chain is deeper than %d", e.policy.Limits.MaxDepth))
@@ -250,7 +250,7 @@
 	}
 	delete(e.entries, rec.id)
 	if rec.parent != nil {
-		delete(rec.parent.children, rec.id)
+		rec.parent.callEnded(now, rec)
 	}
 	if rec.sub != nil {
 		rec.sub.open = false
--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -28,6 +28,10 @@
 	pool      retry.Pool
 	children  map[call.ID]*entryCall
 	subs      map[subIdentity]*subCall
+	// waited is the time for which at least one sub-call was open, up to
+	// waitingSince if one is open now.
+	waited       time.Duration
+	waitingSince time.Time
 	// childLevel is the highest admission level that sub-calls reported.
 	childLevel call.Rank
 	joined     []joinedCall
@@ -48,6 +52,25 @@
 	credit    int
 }
 
+// callsOut records an outgoing call of the run.
+func (g *guardCall) callsOut(now time.Time, rec *entryCall) {
+	if len(g.children) == 0 {
+		g.waitingSince = now
+	}
+	g.children[rec.id] = rec
+}
+
+// callEnded removes an outgoing call of the run.
+func (g *guardCall) callEnded(now time.Time, rec *entryCall) {
+	if _, open := g.children[rec.id]; !open {
+		return
+	}
+	delete(g.children, rec.id)
+	if len(g.children) == 0 {
+		g.waited += now.Sub(g.waitingSince)
+	}
+}
+
 func (e *Engine) peerCallArrived(now time.Time, ev PeerCallArrived) {
 	g := &guardCall{
 		id:       ev.ID,
@@ -191,6 +214,7 @@
 	}
 	decisions := e.admitter.Done(now, g.id, admit.Outcome{
 		Latency:   now.Sub(g.started),
+		Waited:    g.waited,
 		Shed:      ev.Shed,
 		Cancelled: g.cancelled && g.req.Key == "",
 	})
@@ -225,6 +249,7 @@
 	}
 	decisions := e.admitter.Done(now, g.id, admit.Outcome{
 		Latency:   now.Sub(g.started),
+		Waited:    g.waited,
 		Failed:    !g.cancelled,
 		Cancelled: g.cancelled,
 	})
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -68,14 +68,15 @@
 	started   time.Time
 
 	limit float64
-	best  float64 // lowest slot time per expected slot time seen
+	best  float64 // lowest time per reference time seen
 
 	windowStart time.Time
 	lastChange  time.Time
 	busy        float64 // integral of running calls over the window, seconds
 	running     int
 	samples     int
-	work        float64 // expected slot time of the calls completed, seconds
+	spent       float64 // time of the calls completed, seconds
+	work        float64 // reference time of the calls completed, seconds
 
 	phase     phase
 	trialUp   bool
@@ -128,10 +129,12 @@
 	l.running = running
 }
 
-// Answered reports a completed call and its expected slot time.
-func (l *Limit) Answered(now time.Time, expected time.Duration) {
+// Answered reports a completed call: the time spent in the upstream itself,
+// without its sub-calls, and the time that such a call takes at best.
+func (l *Limit) Answered(now time.Time, took, reference time.Duration) {
 	l.samples++
-	l.work += expected.Seconds()
+	l.spent += took.Seconds()
+	l.work += reference.Seconds()
 	elapsed := now.Sub(l.windowStart)
 	if elapsed < window || l.samples < minSamples {
 		return
@@ -141,6 +144,7 @@
 	l.windowStart = now
 	l.busy = 0
 	l.samples = 0
+	l.spent = 0
 	l.work = 0
 }
 
@@ -163,6 +167,7 @@
 	l.lastChange = now
 	l.busy = 0
 	l.samples = 0
+	l.spent = 0
 	l.work = 0
 	if l.phase != steady {
 		l.limit = l.before
@@ -181,7 +186,7 @@
 	}
 	mean := l.busy / seconds
 	rate := l.work / seconds
-	ratio := l.busy / l.work
+	ratio := l.spent / l.work
 	if l.best == 0 || ratio < l.best {
 		l.best = ratio
 	}
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -21,9 +21,12 @@
 	real   int
 	slow   float64
 	free   []time.Time // when each real slot is free
-	ends   []time.Time
+	ends   []running
 }
 
+// running is a call inside the plant.
+type running struct{ begin, end time.Time }
+
 func newPlant(slots int) *plant {
 	return &plant{
 		limit:  limit.New(slots, 0),
@@ -39,20 +42,16 @@
 	completed := 0
 	for end := p.now.Add(length); p.now.Before(end); p.now = p.now.Add(100 * time.Microsecond) {
 		kept := p.ends[:0]
-		finished := 0
-		for _, at := range p.ends {
-			if at.After(p.now) {
-				kept = append(kept, at)
+		for _, r := range p.ends {
+			if r.end.After(p.now) {
+				kept = append(kept, r)
 				continue
 			}
-			finished++
-		}
-		p.ends = kept
-		for range finished {
 			completed++
-			p.limit.Running(p.now, len(p.ends))
-			p.limit.Answered(p.now, cost)
+			p.limit.Answered(p.now, r.end.Sub(r.begin), cost)
 		}
+		p.ends = kept
+		p.limit.Running(p.now, len(p.ends))
 		for len(p.ends) < p.limit.Current(p.now) {
 			p.start()
 		}
@@ -79,7 +78,7 @@
 	spread := 0.5 + p.random.Float64()
 	end := begin.Add(time.Duration(p.slow * spread * float64(cost)))
 	p.free[first] = end
-	p.ends = append(p.ends, end)
+	p.ends = append(p.ends, running{p.now, end})
 }
 
 // Guards against a limit that does not notice lost capacity, or that does not
