admit: leave slots idle below sub-calls; mechanisms can be left out

Cause: sub-calls that wait at a deep service hold slots of their parents, and lowered the goodput of everything else.

--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// halved takes half of the real capacity of the deepest service, which its
+// configuration does not show: further calls wait inside the upstreams.
+func halved() Cause {
+	set := func(factor float64) func(w *world) {
+		return func(w *world) {
+			slots := w.service(w.deployment.Deep).Slots
+			w.each(w.deployment.Deep, func(n *node) { n.upstream.slots = max(1, int(factor*float64(slots))) })
+		}
+	}
+	return Cause{
+		Name: "halved", Length: 1200 * ms, begin: set(0.5), end: set(1),
+		conditions: func(d *Deployment, _ time.Duration) conditions {
+			return conditions{slots: map[string]float64{d.Deep: 0.5}}
+		},
+	}
+}
+
 func (w *world) setSlow(service string, factor float64) {
 	w.slowness[service] = factor
 	w.each(service, func(n *node) { n.upstream.slow = factor })
@@ -216,6 +233,7 @@
 		one("surge-3x", surge(3)),
 		one("surge-10x", surge(10)),
 		one("slow-deep-5x", slowDeep(5)),
+		one("halved-capacity", halved()),
 		one("hard-retries", hardRetries(), slowDeep(3)),
 		one("cold-restart", coldRestart()),
 		one("lying-health", lyingHealth()),
--- a/bench/world.go
+++ b/bench/world.go
@@ -8,6 +8,7 @@
 	"toucangw.example/core/admit"
 	"toucangw.example/core/baseline"
 	"toucangw.example/core/engine"
+	"toucangw.example/core/limit"
 	"toucangw.example/core/member"
 	"toucangw.example/core/policy"
 	"toucangw.example/core/pressure"
@@ -72,9 +73,31 @@
 func Variants() []Variant { return []Variant{None(), Fixed(), Product()} }
 
 // Policies returns the steps from FIFO to the product, each with what the ones
-// before it have.
+// before it have, and the product with the other limits that were weighed.
 func Policies() []Variant {
-	return []Variant{Fixed(), Product()}
+	step := func(name string, m admit.Mechanisms) Variant {
+		v := Product()
+		v.Name = name
+		v.Admit = admit.With(m)
+		if !m.Levels {
+			v.Pressure = baseline.Open
+		}
+		return v
+	}
+	learned := func(slots int, coldStart time.Duration) admit.Limiter { return limit.New(slots, coldStart) }
+	fifo := Fixed()
+	fifo.Name = "1-fifo"
+	return []Variant{
+		fifo,
+		step("2-priority", admit.Mechanisms{}),
+		step("3-deadline", admit.Mechanisms{DeadlineDrop: true}),
+		step("4-displacement", admit.Mechanisms{DeadlineDrop: true, Displacement: true}),
+		step("5-limit", admit.Mechanisms{DeadlineDrop: true, Displacement: true, Limit: learned}),
+		step("6-pressure", admit.Mechanisms{DeadlineDrop: true, Displacement: true, Limit: learned, Levels: true}),
+		step("limit-slots", admit.Mechanisms{DeadlineDrop: true, Displacement: true, Levels: true}),
+		step("limit-gradient",
+			admit.Mechanisms{DeadlineDrop: true, Displacement: true, Levels: true, Limit: baseline.Gradient}),
+	}
 }
 
 // world is one run: the nodes, their upstreams and the callers.
--- a/core/admit/guard.go
+++ b/core/admit/guard.go
@@ -22,19 +22,47 @@
 	// minRetryAfter is the shortest advice: the demand estimate needs about
 	// this time to follow a change.
 	minRetryAfter = 100 * time.Millisecond
+	// deepWeight is the weight of one arrival in the share of sub-calls.
+	deepWeight = 1.0 / 256
 	// defaultCost is assumed for a call of unknown cost.
 	defaultCost = 5 * time.Millisecond
 )
 
+// Limiter learns how many calls may run at once; *limit.Limit implements it.
+type Limiter interface {
+	Current(now time.Time) int
+	Running(now time.Time, running int)
+	Answered(now time.Time, took, reference time.Duration)
+	Shed(now time.Time, running int)
+	Forget(now time.Time)
+	SetSlots(slots int, coldStart time.Duration)
+}
+
+// Mechanisms are the parts of admission that can be left out, so that the
+// effect of each can be measured.
+type Mechanisms struct {
+	// DeadlineDrop refuses calls that cannot finish or wait too long.
+	DeadlineDrop bool
+	// Displacement drops the lowest waiting call for a higher arrival; without
+	// it, an arrival at a full queue is refused.
+	Displacement bool
+	// Levels derives admission levels from the demand.
+	Levels bool
+	// Limit makes the limit; nil keeps to the configured slots.
+	Limit func(slots int, coldStart time.Duration) Limiter
+}
+
 // guard implements Admitter.
 type guard struct {
 	service *policy.Service
-	limit   *limit.Limit
+	with    Mechanisms
+	limit   Limiter
 	queue   queue
 	byName  map[string]*account
 	other   *account // all callers that are not configured
 	running map[call.ID]run
-	urgent  int // running calls of critical importance
+	deep    float64 // share of sub-calls among the arrivals
+	urgent  int     // running calls of critical importance
 	times   map[string]*serviceTime
 	updated time.Time
 }
@@ -51,9 +79,25 @@
 // New returns an Admitter that orders its queue by importance, customer share
 // and rank, and learns the limit of its upstream.
 func New(service *policy.Service, callers map[string]*policy.Caller) Admitter {
+	learned := func(slots int, coldStart time.Duration) Limiter { return limit.New(slots, coldStart) }
+	return With(Mechanisms{DeadlineDrop: true, Displacement: true, Levels: true, Limit: learned})(service, callers)
+}
+
+// With returns a Builder of admitters with some of the mechanisms.
+func With(m Mechanisms) Builder {
+	return func(service *policy.Service, callers map[string]*policy.Caller) Admitter {
+		return newGuard(m, service, callers)
+	}
+}
+
+func newGuard(m Mechanisms, service *policy.Service, callers map[string]*policy.Caller) *guard {
+	if m.Limit == nil {
+		m.Limit = func(slots int, coldStart time.Duration) Limiter { return limit.Fixed(slots, coldStart) }
+	}
 	g := &guard{
 		service: service,
-		limit:   limit.New(service.Slots, service.ColdStart),
+		with:    m,
+		limit:   m.Limit(service.Slots, service.ColdStart),
 		running: map[call.ID]run{},
 		times:   map[string]*serviceTime{},
 	}
@@ -69,6 +113,7 @@
 	owner := g.account(req.Caller)
 	cost := g.expected(now, req)
 	owner.rates.add(req.Rank, cost)
+	g.countDeep(req.Depth > 0)
 	e := &entry{req: req, owner: owner, cost: cost}
 	limit := g.limit.Current(now)
 	if g.queue.total == 0 && g.hasSlot(req.Rank.Importance(), limit) && !now.Add(cost).After(req.Deadline) {
@@ -82,16 +127,31 @@
 	return g.dispatch(now, out)
 }
 
+// countDeep keeps the share of sub-calls among the arrivals.
+func (g *guard) countDeep(deep bool) {
+	target := 0.0
+	if deep {
+		target = 1
+	}
+	g.deep += deepWeight * (target - g.deep)
+}
+
 // place decides whether an arrival is worth queueing and sets the time until
 // which it is.
 func (g *guard) place(now time.Time, e *entry, limit int) (verdict.Reason, bool) {
+	if !g.with.DeadlineDrop {
+		e.latest = e.req.Deadline
+		full := perSlot(g.queue.total, limit) > g.maxWait()
+		return verdict.QueueFull, g.with.Displacement || !full
+	}
 	left := e.req.Deadline.Sub(now)
 	wait := perSlot(g.queue.ahead(e), limit)
 	if wait+e.cost > left {
 		return verdict.DeadlineUnmet, false
 	}
 	longest := min(g.maxWait(), time.Duration(waitShare(e.req)*float64(left)))
-	if wait > longest {
+	full := !g.with.Displacement && perSlot(g.queue.total, limit) > g.maxWait()
+	if full || wait > longest {
 		return verdict.QueueFull, false
 	}
 	// The level holds for calls that would wait. One whose turn comes at once,
@@ -252,13 +312,16 @@
 	if g.updated.IsZero() {
 		g.updated = now
 	}
+	if !g.with.Levels {
+		return
+	}
 	dt := now.Sub(g.updated)
 	if dt < levelInterval {
 		return
 	}
 	g.updated = now
 	limit := g.limit.Current(now)
-	updateLevels(g.queue.accounts, float64(limit), perSlot(g.queue.total, limit), g.target(limit), dt)
+	updateLevels(g.queue.accounts, float64(limit), g.deep, perSlot(g.queue.total, limit), g.target(limit), dt)
 }
 
 // hasSlot reports whether a call of an importance may start now.
@@ -325,7 +388,7 @@
 // displace drops the lowest waiting calls while the queue is longer than its
 // bound.
 func (g *guard) displace(now time.Time, limit int, out []Decision) []Decision {
-	for perSlot(g.queue.total, limit) > g.maxWait() {
+	for g.with.Displacement && perSlot(g.queue.total, limit) > g.maxWait() {
 		e := g.queue.bottom()
 		g.queue.remove(e)
 		out = append(out, g.refuse(now, e, verdict.QueueFull))
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -29,6 +29,10 @@
 	// maxBoost bounds the demand admitted above capacity while the queue is
 	// below targetWait.
 	maxBoost = 0.1
+	// deepMargin is the share of the slots left idle by the levels where all
+	// calls are sub-calls: a call that waits there holds slots of its parents,
+	// which are worth more than the slots left idle.
+	deepMargin = 0.06
 	// openGrowth and openStep bound the growth of the admitted share of a
 	// class in one levelInterval: from closed to open takes about 60 ms, so
 	// that demand hidden by early refusal is noticed before it floods.
@@ -162,9 +166,10 @@
 
 // updateLevels recomputes the levels of all callers from the demand, the
 // capacity in slots and the present wait.
-func updateLevels(accounts []*account, capacity float64, wait, target, dt time.Duration) {
+func updateLevels(accounts []*account, capacity, deep float64, wait, target, dt time.Duration) {
 	correction := float64(target-wait) / float64(drainTime)
-	capacity *= 1 + math.Max(-0.9, math.Min(maxBoost, correction))
+	most := maxBoost - deep*(maxBoost+deepMargin)
+	capacity *= 1 + math.Max(-0.9, math.Min(most, correction))
 	steps := math.Min(float64(dt)/float64(levelInterval), 20)
 	for _, a := range accounts {
 		a.rates.age(dt)
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -66,6 +66,7 @@
 	slots     int
 	coldStart time.Duration
 	started   time.Time
+	fixed     bool
 
 	limit float64
 	best  float64 // lowest time per reference time seen
@@ -94,6 +95,14 @@
 	return &Limit{slots: slots, coldStart: coldStart, limit: float64(slots), backoff: 1}
 }
 
+// Fixed returns a limit that stays at the configured slots after the cold
+// start.
+func Fixed(slots int, coldStart time.Duration) *Limit {
+	l := New(slots, coldStart)
+	l.fixed = true
+	return l
+}
+
 // SetSlots changes the upper bound. A limit that was at the old bound moves to
 // the new one.
 func (l *Limit) SetSlots(slots int, coldStart time.Duration) {
@@ -151,7 +160,7 @@
 // Shed reports that the upstream itself refused a call for load while running
 // calls ran: its capacity is below that.
 func (l *Limit) Shed(now time.Time, running int) {
-	if now.Before(l.shedUntil) {
+	if l.fixed || now.Before(l.shedUntil) {
 		return
 	}
 	l.limit = l.clamp(math.Min(l.limit, float64(running)) * shedStep)
@@ -181,7 +190,7 @@
 }
 
 func (l *Limit) endWindow(seconds float64) {
-	if l.work <= 0 {
+	if l.fixed || l.work <= 0 {
 		return
 	}
 	mean := l.busy / seconds
