--- a/cmd/toucangwctl/main.go
+++ b/cmd/toucangwctl/main.go
@@ -1,6 +1,7 @@
-// Command toucangwctl is the operators' tool.
+// Command toucangwctl is the operators' command-line tool.
 package main
 
+<<<<<<< HEAD
 import (
 	"errors"
 	"fmt"
@@ -60,4 +61,10 @@
 	}
 	fmt.Fprintln(os.Stderr, "toucangwctl:", err)
 	return exitFailed
+=======
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], systemEnvironment()))
+>>>>>>> main
 }
