--- a/cmd/internal/demo/process.go
+++ b/cmd/internal/demo/process.go
@@ -64,16 +64,6 @@
 	}
 }
 
-// ended reports whether the process has ended.
-func (p *process) ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // output runs a program to its end and returns its standard output.
 func output(ctx context.Context, program string, args ...string) ([]byte, error) {
 	cmd := exec.CommandContext(ctx, program, args...)
--- a/cmd/toucangwctl/client.go
+++ b/cmd/toucangwctl/client.go
@@ -18,11 +18,19 @@
 	Node string `short:"n" long:"node" value-name:"IP:PORT" default:"127.0.0.1:7402" description:"operator listener of the node"`
 }
 
-// request sends a request and returns the reply with its body.
-func request(method, url string, header http.Header, body []byte) (*http.Response, []byte, error) {
+// nodeReply is a reply whose body has been read.
+type nodeReply struct {
+	code   int
+	status string
+	header http.Header
+	body   []byte
+}
+
+// request sends a request to a node.
+func request(method, url string, header http.Header, body []byte) (*nodeReply, error) {
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	for name, values := range header {
 		req.Header[name] = values
@@ -30,12 +38,12 @@
 	client := &http.Client{Timeout: requestTimeout}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, nil, fmt.Errorf("ask node: %w", err)
+		return nil, fmt.Errorf("ask node: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
-		return nil, nil, fmt.Errorf("read reply: %w", err)
+		return nil, fmt.Errorf("read reply: %w", err)
 	}
-	return resp, data, nil
+	return &nodeReply{code: resp.StatusCode, status: resp.Status, header: resp.Header, body: data}, nil
 }
--- a/cmd/toucangwctl/demo.go
+++ b/cmd/toucangwctl/demo.go
@@ -3,20 +3,41 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"os"
 	"os/signal"
 	"syscall"
 
 	"toucangw.example/cmd/internal/demo"
 )
 
+const demoHelp = `Runs the example deployment of Antwerp on this machine: 13 upstreams and 13 nodes as processes on loopback, through steady load, a surge, a slow deep service, a silent connection, a planned stop and a configuration change. It needs toucangwd and standin beside it and takes under a minute.
+
+Examples:
+  toucangwctl demo
+  toucangwctl demo --json | jq .promises
+  toucangwctl demo --keep-logs
+
+Exit codes:
+  0  every promise was kept
+  1  a promise was broken: a doubled once-only run, a false "not run", a mixed or cut answer, a change not in force
+  2  wrong usage, or the demo could not be carried out`
+
+func init() {
+	register(command{
+		name:  "demo",
+		short: "Run the example deployment on this machine",
+		long:  demoHelp,
+		build: func(env *environment) any { return &demoCommand{env: env} },
+	})
+}
+
 type demoCommand struct {
 	JSON     bool   `long:"json" description:"print the summary as JSON; progress goes to standard error"`
 	KeepLogs bool   `long:"keep-logs" description:"leave the logs of all processes behind"`
 	Bin      string `long:"bin" value-name:"DIR" description:"directory of toucangwd and standin (default: that of toucangwctl)"`
 	Examples string `long:"examples" value-name:"DIR" default:"examples/drooglog" description:"directory of the example files"`
 	Seed     uint64 `long:"seed" default:"1" description:"seed of arrivals and kinds"`
+
+	env *environment
 }
 
 // Execute implements flags.Commander.
@@ -30,9 +51,9 @@
 			return err
 		}
 	}
-	var progress io.Writer = os.Stdout
+	progress := c.env.out
 	if c.JSON {
-		progress = os.Stderr
+		progress = c.env.err
 	}
 	report, err := demo.Run(ctx, demo.Config{
 		Bin: bin, Examples: c.Examples, KeepLogs: c.KeepLogs, Progress: progress, Seed: c.Seed,
@@ -41,17 +62,17 @@
 		return err
 	}
 	if c.JSON {
-		encoder := json.NewEncoder(os.Stdout)
+		encoder := json.NewEncoder(c.env.out)
 		encoder.SetIndent("", "  ")
 		err = encoder.Encode(report)
 	} else {
-		err = report.Write(os.Stdout)
+		err = report.Write(c.env.out)
 	}
 	if err != nil {
 		return err
 	}
 	if !report.OK {
-		return errReported
+		return &exitError{code: exitProblems}
 	}
 	return nil
 }
--- a/cmd/toucangwctl/loglevel.go
+++ b/cmd/toucangwctl/loglevel.go
@@ -8,7 +8,23 @@
 	"toucangw.example/node/operator"
 )
 
+const logLevelHelp = `Changes the log level of a running node until it restarts.
+
+Examples:
+  toucangwctl loglevel debug
+  toucangwctl loglevel --node 127.0.0.1:7402 warn`
+
+func init() {
+	register(command{
+		name:  "loglevel",
+		short: "Change the log level of a node",
+		long:  logLevelHelp,
+		build: func(env *environment) any { return &logLevelCommand{env: env} },
+	})
+}
+
 type logLevelCommand struct {
+	env *environment
 	operatorFlags
 	Args struct {
 		Level string `positional-arg-name:"LEVEL" description:"debug, info, warn or error"`
@@ -22,13 +38,13 @@
 		return err
 	}
 	header := http.Header{"Content-Type": {"application/json"}}
-	resp, reply, err := request(http.MethodPut, "http://"+c.Node+"/v1/loglevel", header, body)
+	resp, err := request(http.MethodPut, "http://"+c.Node+"/v1/loglevel", header, body)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("node %s: status %s: %s", c.Node, resp.Status, reply)
+	if resp.code != http.StatusOK {
+		return fmt.Errorf("node %s: status %s: %s", c.Node, resp.status, resp.body)
 	}
-	fmt.Println("log level of", c.Node, "is", c.Args.Level)
-	return nil
+	_, err = fmt.Fprintln(c.env.out, "log level of", c.Node, "is", c.Args.Level)
+	return err
 }
--- a/cmd/toucangwctl/show.go
+++ b/cmd/toucangwctl/show.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -15,7 +14,24 @@
 	"toucangw.example/node/operator"
 )
 
+const showHelp = `Shows the version in force, the members as the node sees them, limits, queues, admission levels and recent refusals with their reasons.
+
+Examples:
+  toucangwctl show
+  toucangwctl show --node 127.0.0.1:7402 --request-id 7f3a
+  toucangwctl show --json | jq .load`
+
+func init() {
+	register(command{
+		name:  "show",
+		short: "Show what a node sees and does",
+		long:  showHelp,
+		build: func(env *environment) any { return &showCommand{env: env} },
+	})
+}
+
 type showCommand struct {
+	env *environment
 	operatorFlags
 	JSON      bool   `long:"json" description:"print the status as JSON"`
 	Refusals  int    `long:"refusals" default:"10" value-name:"N" description:"most recent refusals to print"`
@@ -31,24 +47,24 @@
 
 // Execute implements flags.Commander.
 func (c *showCommand) Execute([]string) error {
-	resp, body, err := request(http.MethodGet, "http://"+c.Node+"/v1/status", nil, nil)
+	resp, err := request(http.MethodGet, "http://"+c.Node+"/v1/status", nil, nil)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("node %s: status %s", c.Node, resp.Status)
+	if resp.code != http.StatusOK {
+		return fmt.Errorf("node %s: status %s", c.Node, resp.status)
 	}
 	var s shown
-	if err := json.Unmarshal(body, &s); err != nil {
+	if err := json.Unmarshal(resp.body, &s); err != nil {
 		return fmt.Errorf("node %s: %w", c.Node, err)
 	}
 	s.selectRefusals(c.RequestID, c.Refusals)
 	if c.JSON {
-		encoder := json.NewEncoder(os.Stdout)
+		encoder := json.NewEncoder(c.env.out)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(s)
 	}
-	return s.write(os.Stdout)
+	return s.write(c.env.out)
 }
 
 func (s *shown) selectRefusals(requestID string, most int) {
