--- a/cmd/toucangwctl/demo.go
+++ b/cmd/toucangwctl/demo.go
@@ -9,17 +9,16 @@
 	"toucangw.example/cmd/internal/demo"
 )
 
-const demoHelp = `Runs the example deployment of Antwerp on this machine: 13 upstreams and 13 nodes as processes on loopback, through steady load, a surge, a slow deep service, a silent connection, a planned stop and a configuration change. It needs toucangwd and standin beside it and takes under a minute.
+const demoHelp = `Starts the Antwerp example on loopback as real processes (platform, 13 upstreams with their nodes, callers) and takes it through a surge, a slow service, a leaving host, a silent connection and a configuration change.
 
 Examples:
   toucangwctl demo
-  toucangwctl demo --json | jq .promises
-  toucangwctl demo --keep-logs
+  toucangwctl demo --json > summary.json
 
 Exit codes:
-  0  every promise was kept
-  1  a promise was broken: a doubled once-only run, a false "not run", a mixed or cut answer, a change not in force
-  2  wrong usage, or the demo could not be carried out`
+  0  every promise held
+  1  a promise was broken; the summary names it
+  2  the demo could not be carried out`
 
 func init() {
 	register(command{
--- a/cmd/toucangwctl/key.go
+++ b/cmd/toucangwctl/key.go
@@ -6,11 +6,11 @@
 	"net/http"
 )
 
-const keyHelp = `Queries a once-only key at its owner, through any node. With --cancel, makes sure that the key never runs if it has not begun.
+const keyHelp = `Asks any node for the state of a once-only key: done with the whole answer, running, queued, unseen, fenced or lost. With --cancel the key is fenced if it has not begun; "not-run" then holds for good.
 
 Examples:
-  toucangwctl key --node 10.0.0.7:7400 --caller scheldt KEY
-  toucangwctl key --node 10.0.0.7:7400 --caller scheldt --cancel KEY`
+  toucangwctl key --node 127.0.0.1:7400 --caller scheldt KEY
+  toucangwctl key --node 127.0.0.1:7400 --caller scheldt --cancel KEY`
 
 func init() {
 	register(command{
@@ -22,8 +22,6 @@
 }
 
 type keyCommand struct {
-	env *environment
-
 	Callers string `short:"n" long:"node" value-name:"IP:PORT" required:"true" description:"caller listener of any node"`
 	Caller  string `long:"caller" required:"true" description:"customer that the key was issued to"`
 	Cancel  bool   `long:"cancel" description:"make sure that the key never runs, if it has not begun"`
@@ -31,6 +29,8 @@
 	Args    struct {
 		Key string `positional-arg-name:"KEY"`
 	} `positional-args:"true" required:"true"`
+
+	env *environment
 }
 
 // keyState is what the command prints.
@@ -66,10 +66,9 @@
 	if c.JSON {
 		return json.NewEncoder(c.env.out).Encode(state)
 	}
-	text := fmt.Sprintf("%s (%s)\n", state.State, state.Verdict)
-	if state.State == "done" {
-		text += fmt.Sprintf("status %d\n%s\n", state.Status, state.Answer)
+	_, err = fmt.Fprintf(c.env.out, "%s (%s)\n", state.State, state.Verdict)
+	if err == nil && state.State == "done" {
+		_, err = fmt.Fprintf(c.env.out, "status %d\n%s\n", state.Status, state.Answer)
 	}
-	_, err = fmt.Fprint(c.env.out, text)
 	return err
 }
--- a/cmd/toucangwctl/loglevel.go
+++ b/cmd/toucangwctl/loglevel.go
@@ -8,27 +8,22 @@
 	"toucangw.example/node/operator"
 )
 
-const logLevelHelp = `Changes the log level of a running node until it restarts.
-
-Examples:
-  toucangwctl loglevel debug
-  toucangwctl loglevel --node 127.0.0.1:7402 warn`
-
 func init() {
 	register(command{
 		name:  "loglevel",
-		short: "Change the log level of a node",
-		long:  logLevelHelp,
+		short: "Change the log level of a running node",
+		long:  "Changes the log level of a running node.\n\nExamples:\n  toucangwctl loglevel --node 127.0.0.1:7402 debug",
 		build: func(env *environment) any { return &logLevelCommand{env: env} },
 	})
 }
 
 type logLevelCommand struct {
-	env *environment
 	operatorFlags
 	Args struct {
 		Level string `positional-arg-name:"LEVEL" description:"debug, info, warn or error"`
 	} `positional-args:"true" required:"true"`
+
+	env *environment
 }
 
 // Execute implements flags.Commander.
--- a/cmd/toucangwctl/show.go
+++ b/cmd/toucangwctl/show.go
@@ -14,12 +14,12 @@
 	"toucangw.example/node/operator"
 )
 
-const showHelp = `Shows the version in force, the members as the node sees them, limits, queues, admission levels and recent refusals with their reasons.
+const showHelp = `Shows what one node sees and does: the configuration in force and any rejected version, its members, limits and queues, and the most recent refusals with their reasons.
 
 Examples:
-  toucangwctl show
-  toucangwctl show --node 127.0.0.1:7402 --request-id 7f3a
-  toucangwctl show --json | jq .load`
+  toucangwctl show --node 127.0.0.1:7402
+  toucangwctl show --node 127.0.0.1:7402 --request-id 4f1c
+  toucangwctl show --node 127.0.0.1:7402 --json | jq .config`
 
 func init() {
 	register(command{
@@ -31,11 +31,12 @@
 }
 
 type showCommand struct {
-	env *environment
 	operatorFlags
 	JSON      bool   `long:"json" description:"print the status as JSON"`
 	Refusals  int    `long:"refusals" default:"10" value-name:"N" description:"most recent refusals to print"`
 	RequestID string `long:"request-id" value-name:"ID" description:"print only refusals of one request"`
+
+	env *environment
 }
 
 // shown is the status with the part that the node's configuration service
