--- a/node/upstream/client.go
+++ b/node/upstream/client.go
@@ -49,10 +49,11 @@
 	probes  *http.Client // apart, so that a full pool does not fail probes
 }
 
-// pool is a set of connections with a bound.
+// pool is a set of connections with a bound. Requests go to the transport
+// directly, which follows no redirects and copies no headers.
 type pool struct {
 	connections int
-	http        *http.Client
+	transport   *http.Transport
 }
 
 // New returns a client of the upstream at addr (IP:port). It connects on first
@@ -74,7 +75,7 @@
 	}
 	c.pool.Store(newPool(connections))
 	if old != nil {
-		old.http.CloseIdleConnections()
+		old.transport.CloseIdleConnections()
 	}
 }
 
@@ -93,18 +94,12 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &pool{
-		connections: connections,
-		http: &http.Client{
-			Transport:     transport,
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	return &pool{connections: connections, transport: transport}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.pool.Load().http.CloseIdleConnections()
+	c.pool.Load().transport.CloseIdleConnections()
 	c.probes.CloseIdleConnections()
 }
 
@@ -160,7 +155,7 @@
 	if err != nil {
 		return engine.UpstreamFailed{Verdict: verdict.NotRun, Reason: verdict.BadRequest, Detail: err.Error()}
 	}
-	resp, err := c.pool.Load().http.Do(req)
+	resp, err := c.pool.Load().transport.RoundTrip(req)
 	if err != nil {
 		return c.sendFailed(ctx, &s, err)
 	}
