--- a/node/platform.go
+++ b/node/platform.go
@@ -32,7 +32,7 @@
 		PlatformURLs: urls,
 		Seeds:        seeds,
 		Peers:        cfg.Links,
-		Compiler:     compile,
+		Compiler:     siteCompiler(h.Site),
 		OnPolicy:     cfg.OnPolicy,
 		OnHosts:      cfg.OnHosts,
 		Logger:       n.logs.Logger,
@@ -40,15 +40,20 @@
 	})
 }
 
-// compile judges a snapshot with the same code as `toucangwctl check`.
-func compile(revision uint64, base []byte, overlays map[string][]byte) (map[string]*policy.Policy, error) {
-	sources := make(map[string]settings.Source, len(overlays))
-	for site, data := range overlays {
-		sources[site] = settings.Source{Name: "config/overlay/" + site, Data: data}
+// siteCompiler judges snapshots with the same code as `toucangwctl check`. It
+// keeps what it read of the last version: at the target size, reading a whole
+// base for each of 18,000 changes a day takes more than 1.4% of a core.
+func siteCompiler(site string) confsync.Compiler {
+	compiler := settings.NewCompiler()
+	return func(revision uint64, base []byte, overlays map[string][]byte) (map[string]*policy.Policy, error) {
+		sources := make(map[string]settings.Source, len(overlays))
+		for name, data := range overlays {
+			sources[name] = settings.Source{Name: "config/overlay/" + name, Data: data}
+		}
+		p, problems := compiler.CompileSite(revision, settings.Source{Name: "config/base", Data: base}, sources, site)
+		if len(problems) > 0 {
+			return nil, problems
+		}
+		return map[string]*policy.Policy{p.Site: p}, nil
 	}
-	policies, problems := settings.Compile(revision, settings.Source{Name: "config/base", Data: base}, sources)
-	if len(problems) > 0 {
-		return nil, problems
-	}
-	return policies, nil
 }
--- a/settings/compiler.go
+++ b/settings/compiler.go
@@ -30,6 +30,32 @@
 
 // Compile does what the function Compile does.
 func (k *Compiler) Compile(revision uint64, base Source, overlays map[string]Source) (map[string]*policy.Policy, Problems) {
+	merged, problems := k.merge(base, overlays)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	policies := make(map[string]*policy.Policy, len(merged))
+	for site, doc := range merged {
+		policies[site] = buildPolicy(revision, site, doc)
+	}
+	return policies, nil
+}
+
+// CompileSite checks the base with every overlay, as Compile does, and returns
+// the policy of one site alone: that of the base if the site has no overlay.
+func (k *Compiler) CompileSite(revision uint64, base Source, overlays map[string]Source, site string) (*policy.Policy, Problems) {
+	merged, problems := k.merge(base, overlays)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	if merged[site] == nil {
+		site = BaseSite
+	}
+	return buildPolicy(revision, site, merged[site]), nil
+}
+
+// merge returns the checked document of each site.
+func (k *Compiler) merge(base Source, overlays map[string]Source) (map[string]*document, Problems) {
 	var c collector
 	used := make(map[sectionKey]*content, len(k.sections))
 	baseDoc := k.read(base, modeBase, used, &c)
@@ -44,11 +70,7 @@
 		return nil, problems
 	}
 	k.sections = used
-	policies := make(map[string]*policy.Policy, len(merged))
-	for site, doc := range merged {
-		policies[site] = buildPolicy(revision, site, doc)
-	}
-	return policies, nil
+	return merged, nil
 }
 
 // read reads a file section by section where each section is without problems,
