--- a/core/internal/history/check.go
+++ b/core/internal/history/check.go
@@ -235,6 +235,18 @@
 	}
 }
 
+// fenced requires that a fenced key holds no queue place.
+func (c *checker) fenced(n *node, key string, s engine.AnswerState) {
+	if s.State != once.Fenced {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[id]
+		waits := p.attempt.call.Key == key && p.answers == 0 && !p.cancelled
+		c.require(!waits, "%s holds peer call %d, whose key is fenced", n.host.ID, id)
+	}
+}
+
 // sent counts an attempt against the grant of the caller's request.
 func (c *checker) sent(a *attempt) {
 	e := a.entry
--- a/core/internal/history/net.go
+++ b/core/internal/history/net.go
@@ -344,7 +344,11 @@
 func (n *node) ask(key, caller string, fence bool, reply func(engine.AnswerState)) {
 	n.post(n.w.between(time.Millisecond, 5*time.Millisecond), func() engine.Event {
 		id := n.nextID()
-		n.replies[id] = func(a engine.Action) { reply(a.(engine.AnswerState)) }
+		n.replies[id] = func(a engine.Action) {
+			state := a.(engine.AnswerState)
+			n.w.check.fenced(n, key, state)
+			reply(state)
+		}
 		return engine.KeyAsked{ID: call.ID(id), Key: key, Caller: caller, Fence: fence}
 	})
 }
--- a/core/once/cap_test.go
+++ b/core/once/cap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -171,3 +172,25 @@
 		l.Begin(now, key)
 	}
 }
+
+// Measures the memory of a submitted key without its answer.
+func BenchmarkHeldKey(b *testing.B) {
+	const held = 100_000
+	for range b.N {
+		cfg := testConfig()
+		cfg.MaxKeys = held
+		l, err := New(cfg)
+		require.NoError(b, err)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for range held {
+			key, _ := l.Issue(testStart, testService, testCaller)
+			l.Submit(testStart, key, request())
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/held, "B/key")
+		runtime.KeepAlive(l)
+	}
+}
