node: use at most four processors by default

Cause: with ten processors, each hand-over between the goroutines of a call wakes another core. Change: GOMAXPROCS is at most 4 unless the environment sets it.

--- a/bench/latency/latency.go
+++ b/bench/latency/latency.go
@@ -65,7 +65,7 @@
 
 // Run makes the measurement.
 func Run(ctx context.Context, cfg Config) (*Result, error) {
-	node.TuneMemory()
+	node.Tune()
 	b, err := newBed(cfg)
 	if err != nil {
 		return nil, err
--- a/cmd/toucangwd/main.go
+++ b/cmd/toucangwd/main.go
@@ -89,7 +89,7 @@
 // serve runs the node. The first SIGTERM or SIGINT starts a planned stop, the
 // second ends it.
 func serve(parsed *settings.Node, incarnation uint64, stderr io.Writer) int {
-	node.TuneMemory()
+	node.Tune()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
