node: take the bounds of the key table from the configuration

Cause: the key table had the default lifetime and bounds whatever the base file said; a slow body held a handler without limit; net/http wrote to standard error beside the log. Change: the table is made when the first configuration comes into force; bodies have 10 s; errors of net/http go to the log. The demo has a cold start phase of its own. Conclusion: key_lifetime and max_keys of the base file hold from process start.

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -82,7 +83,7 @@
 	}
 	r.progress("all nodes have a configuration in force and know all hosts")
 	for _, phase := range []func(context.Context) error{
-		r.steady, r.surge, r.recovery, r.slowDeep, r.silent, r.leave, r.change, r.checkRuns,
+		r.coldStart, r.steady, r.surge, r.recovery, r.slowDeep, r.silent, r.leave, r.change, r.checkRuns,
 	} {
 		if err := phase(ctx); err != nil {
 			return err
@@ -95,7 +96,7 @@
 func (r *run) load(ctx context.Context, name string, rate float64, length time.Duration) error {
 	args := []string{
 		"caller", "--rate", fmt.Sprint(rate), "--duration", length.String(),
-		"--prefix", name, "--seed", fmt.Sprint(r.cfg.Seed),
+		"--prefix", strings.ReplaceAll(name, " ", "-"), "--seed", fmt.Sprint(r.cfg.Seed),
 	}
 	for _, h := range r.fleet.hosts {
 		args = append(args, "--node", "http://"+h.callers)
@@ -114,9 +115,15 @@
 	return nil
 }
 
+// coldStart lets the upstreams ramp up to their full share.
+func (r *run) coldStart(ctx context.Context) error {
+	r.progress("cold start: %.0f requests a second", steadyRate/2)
+	return r.load(ctx, "cold start", steadyRate/2, 5*time.Second)
+}
+
 func (r *run) steady(ctx context.Context) error {
 	r.progress("steady load: %.0f requests a second", steadyRate)
-	return r.load(ctx, "steady", steadyRate, 5*time.Second)
+	return r.load(ctx, "steady", steadyRate, 4*time.Second)
 }
 
 func (r *run) surge(ctx context.Context) error {
--- a/node/config.go
+++ b/node/config.go
@@ -28,7 +28,9 @@
 	Route    route.Builder
 	Budget   retry.Builder
 	Pressure pressure.Builder
-	Keys     func(host member.HostID, incarnation uint64) (once.Ledger, error)
+	// Keys makes the key table. A table with a method SetLimits gets the limits
+	// of the first configuration.
+	Keys func(host member.HostID, incarnation uint64) once.Ledger
 }
 
 // Options describe a node.
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -89,3 +89,16 @@
 	n.done <- err
 	require.ErrorIs(t, err, ErrCut)
 }
+
+// Guards that a host whose upstream says that it is going away takes no new
+// work and announces it, although nobody stopped the node.
+func TestUpstreamDrains(t *testing.T) {
+	c := newCluster(t, "ledger", "batchlog")
+	guard, entry := c.nodes[0], c.nodes[1]
+	guard.upstream.SetMode(upstream.Mode{Drain: true})
+	require.Eventually(t, func() bool { return guard.Status().Leaving && !guard.Ready() }, waitLimit, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		r := send(t, http.MethodGet, entry.url("/ledger/ledger/1"), nil, "")
+		return r.header.Get("Toucangw-Reason") == "no-upstream" && r.header.Get("Toucangw-Verdict") == "not-run"
+	}, 3*time.Second, 10*time.Millisecond)
+}
--- a/node/events.go
+++ b/node/events.go
@@ -32,6 +32,13 @@
 		}
 		n.upstream.SetLimits(connections, n.maxBody())
 	}
+	if keys, ok := n.keys.(bounded); ok {
+		var err error
+		n.driver.With(func() { err = keys.SetLimits(p.Limits) })
+		if err != nil {
+			n.logs.Logger.Error("no key table", "error", err.Error())
+		}
+	}
 	n.driver.Step(engine.PolicyChanged{Policy: p})
 	n.logs.Logger.Info("configuration in force", "revision", p.Revision, "site", p.Site)
 }
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -76,6 +76,15 @@
 	require.Zero(t, n.upstream.Counts().Runs)
 }
 
+// Guards that a body that is read in time, however late the answer comes, does
+// not count as a caller that went away.
+func TestSlowAnswerWithBody(t *testing.T) {
+	c := newCluster(t, "ledger")
+	c.nodes[0].upstream.SetMode(upstream.Mode{Slow: 40}) // 160 ms and more
+	r := send(t, http.MethodGet, c.nodes[0].url("/ledger/ledger/1"), nil, strings.Repeat("x", 100<<10))
+	require.Equal(t, http.StatusOK, r.status, "%s", r.body)
+}
+
 // Guards that a request that breaks off before its end is not run.
 func TestTruncatedRequest(t *testing.T) {
 	c := newCluster(t, "ledger")
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log"
 	"net/http"
 	"time"
 
@@ -35,7 +36,9 @@
 	defaultMaxHeader  = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 90 * time.Second
-	keyTimeout        = 2 * time.Second
+	// bodyTimeout bounds the time in which a caller sends a body.
+	bodyTimeout = 10 * time.Second
+	keyTimeout  = 2 * time.Second
 )
 
 // Calls runs calls and answers questions about keys.
@@ -61,7 +64,8 @@
 	MaxHeader int
 	// Leaving reports whether the node stops; replies then ask callers to close
 	// their connections.
-	Leaving func() bool
+	Leaving  func() bool
+	ErrorLog *log.Logger
 	// Egress makes the API of the local upstream instead of that of callers.
 	Egress bool
 }
@@ -93,6 +97,7 @@
 	}
 	return &http.Server{
 		Handler:           app,
+		ErrorLog:          cfg.ErrorLog,
 		MaxHeaderBytes:    header,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
--- a/node/httpapi/call.go
+++ b/node/httpapi/call.go
@@ -146,6 +146,13 @@
 	if req.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body of %d bytes is above the limit of %d", req.ContentLength, limit)
 	}
+	connection := http.NewResponseController(ctx.ResponseWriter().Naive())
+	if err := connection.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, http.StatusBadRequest, fmt.Errorf("bound the time of the body: %w", err)
+	}
+	// The deadline must not outlive the body: net/http would take it for the
+	// caller going away.
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- /dev/null
+++ b/node/keys.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"toucangw.example/core/call"
+	"toucangw.example/core/member"
+	"toucangw.example/core/once"
+	"toucangw.example/core/policy"
+	"toucangw.example/core/verdict"
+)
+
+// keyTable makes the key table when the first configuration is known, whose
+// bounds then hold for the life of the process: the lifetime of issued keys
+// must not change. Like the table itself it is not safe for concurrent use.
+type keyTable struct {
+	host        member.HostID
+	incarnation uint64
+	table       once.Ledger // nil before the first configuration
+}
+
+// newKeys returns a key table without bounds yet.
+func newKeys(host member.HostID, incarnation uint64) once.Ledger {
+	return &keyTable{host: host, incarnation: incarnation}
+}
+
+// bounded is implemented by key tables that take their bounds from the first
+// configuration.
+type bounded interface {
+	SetLimits(limits policy.Limits) error
+}
+
+// SetLimits makes the table. Later calls change nothing.
+func (k *keyTable) SetLimits(limits policy.Limits) error {
+	if k.table != nil {
+		return nil
+	}
+	secret := make([]byte, once.SecretLen)
+	if _, err := rand.Read(secret); err != nil {
+		return fmt.Errorf("make secret: %w", err)
+	}
+	table, err := once.New(once.Config{
+		Host:           k.host,
+		Incarnation:    k.incarnation,
+		Start:          time.Now(),
+		Secret:         secret,
+		Nonce:          nonce,
+		Lifetime:       limits.KeyLifetime,
+		MaxKeys:        limits.MaxKeys,
+		MaxAnswerBytes: limits.MaxKeyBytes,
+	})
+	if err != nil {
+		return fmt.Errorf("key table: %w", err)
+	}
+	k.table = table
+	return nil
+}
+
+func nonce() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// Issue implements once.Ledger.
+func (k *keyTable) Issue(now time.Time, service, caller string) (string, *verdict.Refusal) {
+	if k.table == nil {
+		return "", verdict.Refuse(verdict.Starting, "no configuration in force yet")
+	}
+	return k.table.Issue(now, service, caller)
+}
+
+// Submit implements once.Ledger. Before the first configuration, every key is
+// of an earlier process, which may have run it.
+func (k *keyTable) Submit(now time.Time, key string, req *call.Request) once.Submission {
+	if k.table == nil {
+		return once.Submission{Step: once.Refuse, Refusal: &verdict.Refusal{
+			Verdict: verdict.MayHaveRun,
+			Reason:  verdict.KeyUnknown,
+			Detail:  "this process has issued no keys yet",
+		}}
+	}
+	return k.table.Submit(now, key, req)
+}
+
+// Begin implements once.Ledger.
+func (k *keyTable) Begin(now time.Time, key string) bool {
+	return k.table != nil && k.table.Begin(now, key)
+}
+
+// Finish implements once.Ledger.
+func (k *keyTable) Finish(now time.Time, key string, answer *call.Answer) {
+	if k.table != nil {
+		k.table.Finish(now, key, answer)
+	}
+}
+
+// Break implements once.Ledger.
+func (k *keyTable) Break(now time.Time, key string) {
+	if k.table != nil {
+		k.table.Break(now, key)
+	}
+}
+
+// Reject implements once.Ledger.
+func (k *keyTable) Reject(now time.Time, key string) {
+	if k.table != nil {
+		k.table.Reject(now, key)
+	}
+}
+
+// Fence implements once.Ledger.
+func (k *keyTable) Fence(now time.Time, key string) once.State {
+	if k.table == nil {
+		return once.Lost
+	}
+	return k.table.Fence(now, key)
+}
+
+// Query implements once.Ledger.
+func (k *keyTable) Query(now time.Time, key, caller string) (once.State, *call.Answer) {
+	if k.table == nil {
+		return once.Lost, nil
+	}
+	return k.table.Query(now, key, caller)
+}
+
+// Tick implements once.Ledger.
+func (k *keyTable) Tick(now time.Time) {
+	if k.table != nil {
+		k.table.Tick(now)
+	}
+}
+
+// Len implements once.Ledger.
+func (k *keyTable) Len() (int, int64) {
+	if k.table == nil {
+		return 0, 0
+	}
+	return k.table.Len()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"log"
+	"log/slog"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -33,6 +35,7 @@
 	logs        *telemetry.Logs
 	observer    *telemetry.Observer
 	engine      *engine.Engine
+	keys        once.Ledger // used by the engine
 	driver      *driver.Driver
 	links       *peerlink.Links
 	peers       *peerlink.Server
@@ -78,11 +81,8 @@
 
 func (n *Node) assemble(opts Options) error {
 	self := peerlink.Self{Host: member.HostID(n.settings.Host.ID), Incarnation: n.incarnation}
-	keys, err := opts.Policies.Keys(self.Host, self.Incarnation)
-	if err != nil {
-		return fmt.Errorf("key table: %w", err)
-	}
-	n.engine = engine.New(engineConfig(opts, self, keys))
+	n.keys = opts.Policies.Keys(self.Host, self.Incarnation)
+	n.engine = engine.New(engineConfig(opts, self, n.keys))
 	n.links = peerlink.NewLinks(self, peerlink.Events{
 		Leaving: n.peerLeaving,
 		Alive:   n.peerAlive,
@@ -162,6 +162,7 @@
 		MaxHeader: n.settings.Limits.MaxHeader,
 		Owner:     once.ParseOwner,
 		Leaving:   n.leaving.Load,
+		ErrorLog:  n.errorLog(),
 	}
 	var err error
 	if n.callers, err = httpapi.NewServer(cfg); err != nil {
@@ -177,6 +178,7 @@
 		Refusals: n.observer.Recent,
 		SetLevel: n.logs.SetLevel,
 		Metrics:  n.observer.Metrics.Handler(),
+		ErrorLog: n.errorLog(),
 	})
 	if err != nil {
 		return fmt.Errorf("operator API: %w", err)
@@ -184,6 +186,11 @@
 	return nil
 }
 
+// errorLog passes on what net/http reports of broken requests.
+func (n *Node) errorLog() *log.Logger {
+	return slog.NewLogLogger(n.logs.Logger.Handler(), slog.LevelWarn)
+}
+
 func (n *Node) listen() error {
 	l := n.settings.Listen
 	for _, open := range []struct {
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"log"
 	"net/http"
 	"time"
 
@@ -67,6 +68,7 @@
 	Refusals func(requestID string) []telemetry.Refusal
 	SetLevel func(level string) error
 	Metrics  http.Handler
+	ErrorLog *log.Logger
 }
 
 // NewServer returns an HTTP server without listener.
@@ -89,7 +91,7 @@
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
-	return &http.Server{Handler: app, ReadHeaderTimeout: readHeaderTimeout}, nil
+	return &http.Server{Handler: app, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: cfg.ErrorLog}, nil
 }
 
 func setLevel(ctx iris.Context, set func(string) error) {
