engine: keep retries from doubling once-only sub-calls

Cause: a once-only call made under an idempotent request got a key of its run; when the entry node retried the request on another host after a lost reply, the action ran again under another key. A once-only call without context got a new key at each repeat. Change: the first is refused as not run (bad-request, with both kinds named); the second is answered with a key like a caller's request. A test for each. Conclusion: a kind that leads to a once-only action must itself be once-only.

--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -140,7 +140,9 @@
 		rec.req.Rank = call.NewRank(call.Background, 0, 0, ev.RequestID)
 		rec.req.Deadline = now.Add(shorter(orphanDeadline, ev.Timeout))
 		rec.class = pressure.Class{Service: ev.Service, Kind: rec.req.Kind}
-		rec.ownKey = true
+		// Without a parent a repeat cannot be recognised, so that a once-only
+		// call needs a key like a caller's request.
+		rec.req.Key = ev.Key
 		return e.refuseEarly(now, rec)
 	}
 	rec.parent = parent
@@ -160,6 +162,12 @@
 		return verdict.Refuse(verdict.DepthExceeded,
 			fmt.Sprintf("call chain is deeper than %d", e.policy.Limits.MaxDepth))
 	}
+	if parent.req.Idempotent && kind != nil && kind.OnceOnly {
+		// A retry of the parent would run on another host and make this call
+		// again under another key.
+		return verdict.Refuse(verdict.BadRequest,
+			fmt.Sprintf("once-only kind %q cannot be called from kind %q, which is not once-only", kind.Name, parent.req.Kind))
+	}
 	return e.joinParent(rec, ev)
 }
 
--- a/core/engine/entry_test.go
+++ b/core/engine/entry_test.go
@@ -124,6 +124,33 @@
 	assert.Equal(t, verdict.MayHaveRun, answer.Refusal.Verdict)
 }
 
+// Guards against a once-only action that runs twice because the idempotent
+// request that leads to it is retried on another host.
+func TestOnceOnlySubCallNeedsOnceOnlyParent(t *testing.T) {
+	e := newNode(t)
+	run := only[engine.RunUpstream](t, e.Step(start, engine.PeerCallArrived{ID: 1, Call: engine.PeerCall{
+		RequestID: "r", Caller: "polder", Kind: "read", Service: "ledger", Remaining: time.Second, Idempotent: true,
+	}}))
+	sub := callFrom(2, "POST", "/sign")
+	sub.Egress = true
+	sub.Token = run.Token
+	answer := only[engine.AnswerCaller](t, e.Step(start, sub))
+	assert.Equal(t, verdict.BadRequest, answer.Refusal.Reason)
+	assert.Equal(t, verdict.NotRun, answer.Refusal.Verdict)
+}
+
+// Guards against a once-only call of an upstream without context that is
+// repeated under a new key each time.
+func TestOnceOnlyCallWithoutContextNeedsKey(t *testing.T) {
+	e := newNode(t)
+	sub := callFrom(2, "POST", "/sign")
+	sub.Egress = true
+	only[engine.RequestKey](t, e.Step(start, sub))
+	answer := only[engine.AnswerCaller](t, e.Step(start, engine.KeyIssued{ID: 2, Key: "k"}))
+	assert.Equal(t, verdict.KeyRequired, answer.Refusal.Reason)
+	assert.Equal(t, "k", answer.Key)
+}
+
 // Guards against work for a host that said it is leaving, although a late list
 // still shows it as live.
 func TestLateListDoesNotBringBackLeavingHost(t *testing.T) {
