admit, pressure: more room below sub-calls, fewer probes

Cause: probes of refused classes ran at the first service and were refused at a deeper one; levels of deep services reacted slowly to a queue. Change: one probe per class in 150 ms instead of 60 ms, with a longer grace; deep services work a queue off in 15 ms and leave up to 12% of slots idle.

--- a/bench/measure.go
+++ b/bench/measure.go
@@ -19,24 +19,24 @@
 
 // Result is what one run measured.
 type Result struct {
-	Goodput       float64 // worth per second answered in time during the causes
-	Oracle        float64 // greatest worth per second that fits, during the causes
-	Before        float64 // share of the offered worth answered before
-	Recovery      time.Duration
-	Recovered     bool
-	Amplification float64 // calls between nodes per call needed
-	MaxAttempts   int     // most calls between nodes for one attempt of a caller
-	MaxRetries    int     // most extra attempts for one caller's request
-	Shed          map[string]float64
-	CriticalFits  bool
-	CriticalInTim float64
-	Wasted        float64 // share of the slot time spent on failed requests
-	FalseNotRun   int
-	RunTwice      int
-	Requests      int
-	Refusals      map[string]int
-	KindGoodput   map[string]float64 // requests per second answered in time during the causes
-	KindOracle    map[string]float64 // the same as the oracle would choose
+	Goodput        float64 // worth per second answered in time during the causes
+	Oracle         float64 // greatest worth per second that fits, during the causes
+	Before         float64 // share of the offered worth answered before
+	Recovery       time.Duration
+	Recovered      bool
+	Amplification  float64 // calls between nodes per call needed
+	MaxAttempts    int     // most calls between nodes for one attempt of a caller
+	MaxRetries     int     // most extra attempts for one caller's request
+	Shed           map[string]float64
+	CriticalFits   bool
+	CriticalInTime float64
+	Wasted         float64 // share of the slot time spent on failed requests
+	FalseNotRun    int
+	RunTwice       int
+	Requests       int
+	Refusals       map[string]int
+	KindGoodput    map[string]float64 // requests per second answered in time during the causes
+	KindOracle     map[string]float64 // the same as the oracle would choose
 }
 
 // Run performs one scenario with one variant and seed.
@@ -146,7 +146,7 @@
 		out.Shed[name] = 1 - v.value()
 	}
 	out.Before = before.value()
-	out.CriticalInTim = urgent.value()
+	out.CriticalInTime = urgent.value()
 	out.Amplification = float64(sends) / float64(needed)
 	out.Wasted = wasted.Seconds() / max(slot.Seconds(), 1e-9)
 	out.Recovery, out.Recovered = recovery(bins, out.Before)
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -24,15 +24,17 @@
 	// long against targetWait; with fewer waiting calls the order among
 	// callers has nothing to choose from.
 	targetCalls = 6
-	// drainTime is the time over which a queue above targetWait is worked off.
-	drainTime = 40 * time.Millisecond
+	// drainTime is the time over which a queue above targetWait is worked off,
+	// and deepDrainTime where all calls are sub-calls.
+	drainTime     = 40 * time.Millisecond
+	deepDrainTime = 15 * time.Millisecond
 	// maxBoost bounds the demand admitted above capacity while the queue is
 	// below targetWait.
 	maxBoost = 0.1
 	// deepMargin is the share of the slots left idle by the levels where all
 	// calls are sub-calls: a call that waits there holds slots of its parents,
 	// which are worth more than the slots left idle.
-	deepMargin = 0.06
+	deepMargin = 0.12
 	// openGrowth and openStep bound the growth of the admitted share of a
 	// class in one levelInterval: from closed to open takes about 60 ms, so
 	// that demand hidden by early refusal is noticed before it floods.
@@ -167,7 +169,8 @@
 // updateLevels recomputes the levels of all callers from the demand, the
 // capacity in slots and the present wait.
 func updateLevels(accounts []*account, capacity, deep float64, wait, target, dt time.Duration) {
-	correction := float64(target-wait) / float64(drainTime)
+	drain := float64(drainTime) + deep*float64(deepDrainTime-drainTime)
+	correction := float64(target-wait) / drain
 	most := maxBoost - deep*(maxBoost+deepMargin)
 	capacity *= 1 + math.Max(-0.9, math.Min(most, correction))
 	steps := math.Min(float64(dt)/float64(levelInterval), 20)
--- a/core/pressure/table.go
+++ b/core/pressure/table.go
@@ -9,14 +9,14 @@
 
 const (
 	// grace is the time for which a reported level counts in full.
-	grace = 100 * time.Millisecond
+	grace = 250 * time.Millisecond
 	// halfLife is the half-life of the refused share after grace. A level
 	// without news is below a tenth after half a second.
 	halfLife = 120 * time.Millisecond
 	// probeEvery is the mean time between calls that are let through while a
 	// class is refused. It is well below grace, so that a level that still
 	// holds does not decay between two probes.
-	probeEvery = 60 * time.Millisecond
+	probeEvery = 150 * time.Millisecond
 	// blend is the weight of one report. The hosts of a service report levels
 	// of their own, and a call may go to any of them.
 	blend = 0.3
