route: spill only to zones with more room

Cause: with all zones at their limit, two of three calls crossed zones. They freed no slot there and held the caller's slots for 3 ms more, so the services at the top ran out of slots. Change: the share of spilled calls is also bounded by the lead of the own zone's utilisation over that of the other zones.

--- a/core/route/router.go
+++ b/core/route/router.go
@@ -25,6 +25,10 @@
 	// between which a growing share of calls is chosen from all zones.
 	spillFrom = 0.6
 	spillFull = 0.85
+	// spillGap is the lead of the own zone's utilisation over that of the other
+	// zones at which all calls spill. Where all zones are equally loaded, spilled
+	// calls free no slot and hold the caller's slots for longer.
+	spillGap = 0.25
 	// slowFactor is the latency, in multiples of the best host's, above which
 	// a host of the own zone counts as fully used.
 	slowFactor = 4
@@ -223,17 +227,29 @@
 
 // spills draws whether a call is chosen from all zones.
 func (r *router) spills(now time.Time, p *pool, local []*host) bool {
+	own := p.meanUse(now, local)
+	share := (own - spillFrom) / (spillFull - spillFrom)
+	remote := slices.DeleteFunc(slices.Clone(p.subset), func(h *host) bool {
+		return r.distance(h) == 0 || h.bad(now)
+	})
+	if len(remote) > 0 {
+		share = min(share, (own-p.meanUse(now, remote))/spillGap)
+	}
+	return share > 0 && float64(r.random(spillSteps)) < share*spillSteps
+}
+
+// meanUse returns the mean utilisation of some hosts, at most one.
+func (p *pool) meanUse(now time.Time, hosts []*host) float64 {
 	best := p.bestLatency(now)
 	sum := 0.0
-	for _, h := range local {
+	for _, h := range hosts {
 		if h.expected(now, p.latency) > slowFactor*best {
 			sum++
 			continue
 		}
 		sum += min(h.utilisation(now, p.slots), 1)
 	}
-	share := (sum/float64(len(local)) - spillFrom) / (spillFull - spillFrom)
-	return share > 0 && float64(r.random(spillSteps)) < share*spillSteps
+	return sum / float64(len(hosts))
 }
 
 // better returns the better of two distinct hosts drawn at random.
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// Guards against calls that cross zones although all zones are equally full:
+// they free no slot and hold the caller's for longer.
+func TestStaysWhenAllZonesAreFull(t *testing.T) {
+	r := withHosts(1, zones(9, "a", "b", "c"))
+	full := func(member.Host) Outcome {
+		return Outcome{Latency: 5 * time.Millisecond, Report: &Report{Running: 10, Queued: 5, Limit: 10}}
+	}
+	for _, h := range zones(9, "a", "b", "c") {
+		r.Done(testNow, h.ID, full(h))
+	}
+	counts := play(t, r, testNow, 500, full)
+	remote := 500
+	for _, id := range []member.HostID{"h000", "h003", "h006"} {
+		remote -= counts[id]
+	}
+	assert.Less(t, remote, 250, "without the comparison all zones are chosen alike")
+}
+
 // Guards against calls that stay with a slow host because it is the only one
 // in the own zone.
 func TestSpillsFromSlowZone(t *testing.T) {
