--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -34,7 +34,7 @@
 	// deepMargin is the share of the slots left idle by the levels where all
 	// calls are sub-calls: a call that waits there holds slots of its parents,
 	// which are worth more than the slots left idle.
-	deepMargin = 0.12
+	deepMargin = 0.15
 	// openGrowth and openStep bound the growth of the admitted share of a
 	// class in one levelInterval: from closed to open takes about 60 ms, so
 	// that demand hidden by early refusal is noticed before it floods.
