--- a/core/internal/history/check.go
+++ b/core/internal/history/check.go
@@ -117,9 +117,10 @@
 	c.fail("%s holds peer call %d past its deadline", p.n.host.ID, p.id)
 }
 
-// heard notes that a host said that it is leaving.
+// heard notes that a host said that it is leaving. The engine cannot tell which
+// host sent a reply to a call that it has ended, as it may when it wakes.
 func (c *checker) heard(a *attempt, reply engine.Reply) {
-	current := a.entry.answers == 0 && a.entry.sends == a.id.attempt && a.open
+	current := a.entry.answers == 0 && a.entry.sends == a.id.attempt && a.open && !a.from.woke
 	if reply.Leaving && current && reply.RequestID == a.call.RequestID {
 		a.from.left[a.to.host.ID] = max(a.from.left[a.to.host.ID], reply.Incarnation)
 	}
--- a/core/internal/history/setup.go
+++ b/core/internal/history/setup.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -73,6 +74,19 @@
 	}
 }
 
+// changedPolicy is the next revision, with another number of slots.
+func (w *world) changedPolicy(slots int) *policy.Policy {
+	next := *w.policy
+	next.Revision++
+	next.Services = maps.Clone(w.policy.Services)
+	for name, service := range w.policy.Services {
+		changed := *service
+		changed.Slots = slots
+		next.Services[name] = &changed
+	}
+	return &next
+}
+
 // start makes two or three hosts of each service in two zones.
 func (w *world) start() {
 	for _, service := range []string{front, ledger} {
