spread: exchange every 1.5 s; member: scan only zones with unlisted hosts

Cause: the busiest of 800 nodes needed 2.96 KB/s, growing by 0.13 KB/s with each doubling of the fleet, so that 21,000 nodes would exceed 3 KB/s. The view looked at all 21,000 hosts each second. Change: exchanges each 1.5 s (0.5 s until a configuration is in force); deputies ask readers on their own schedule; only zones with hosts missing from the list are scanned.

--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -33,6 +33,7 @@
 	idleReads := m("at rest", "platform reads per second", "1/s")
 	startTime := m("start of all nodes", "time to in force everywhere", "s")
 	startReads := m("start of all nodes", "platform reads", "")
+	restart := m("restart of one node", "mean time to in force", "s")
 	bytes := m("18,000 changes a day", "bytes per second and node", "bytes/s")
 	most := m("18,000 changes a day", "bytes per second at the busiest node", "bytes/s")
 	change := m("18,000 changes a day", "bytes per change and node", "bytes")
@@ -43,6 +44,10 @@
 	worst := m("18,000 changes a day", "worst time to in force everywhere", "s")
 	perLog := m("18,000 changes a day", "mean time to in force everywhere, against log2 of nodes", "s")
 	perLog.per = "doublings"
+	perLog.scale = 1
+	mostLog := m("18,000 changes a day", "bytes per second at the busiest node, against log2 of nodes", "bytes/s")
+	mostLog.per = "doublings"
+	mostLog.scale = 1
 	for _, nodes := range sizes {
 		n := float64(nodes)
 		f := spreadtest.NewFleet(seed)
@@ -70,6 +75,7 @@
 		})
 		bytes.add(n, busy.bytes/busy.seconds/n)
 		most.add(n, busy.most/busy.seconds)
+		mostLog.add(math.Log2(n), busy.most/busy.seconds)
 		change.add(n, (busy.bytes/busy.seconds-rest.bytes/rest.seconds)*secondsPerChange/n)
 		messages.add(n, (busy.messages/busy.seconds-rest.messages/rest.seconds)*secondsPerChange/n)
 		reads.add(n, busy.reads/fleetChanges)
@@ -77,8 +83,24 @@
 		mean.add(n, sum.Seconds()/fleetChanges)
 		worst.add(n, longest.Seconds())
 		perLog.add(math.Log2(n), sum.Seconds()/fleetChanges)
+		restart.add(n, restarts(f))
 	}
-	return flatten(idleBytes, idleMessages, idleReads, startTime, startReads, bytes, most, change, messages, reads, body, mean, worst, perLog)
+	return flatten(idleBytes, idleMessages, idleReads, startTime, startReads, restart, bytes, most, change, messages, reads, body, mean, worst, perLog, mostLog)
+}
+
+// restarts returns the mean time until a restarted node has the configuration
+// in force.
+func restarts(f *spreadtest.Fleet) float64 {
+	const runs = 20
+	var sum time.Duration
+	for i := range runs {
+		n := f.Nodes[len(f.Nodes)-1-i]
+		want := n.State.Status().InForce
+		n.Kill()
+		n.Start(f.Seeds()...)
+		sum += f.Spread(want, startLimit)
+	}
+	return sum.Seconds() / runs
 }
 
 // observed is what happened in a stretch of time, over all nodes.
--- a/bench/control/memory.go
+++ b/bench/control/memory.go
@@ -35,33 +35,39 @@
 	return nil, errNoPeers
 }
 
-// Memory measures the heap of the configuration service of one node that has
-// read a base of 650 services, 13 overlays and the lists of all hosts from a
-// stand-in platform.
+// restTime is how long the processor time at rest is measured.
+const restTime = 3 * time.Second
+
+// Memory measures the heap, and the processor time at rest, of the
+// configuration service of one node that has read a base of 650 services, 13
+// overlays and the lists of all hosts from a stand-in platform.
 func Memory(ctx context.Context) ([]Row, error) {
 	heap := &series{scenario: "memory", variant: "650 services, 13 zones", metric: "heap of configuration and host view", unit: "MB", per: "hosts"}
+	rest := &series{scenario: "memory", variant: "650 services, 13 zones, no peers", metric: "share of a core at rest", unit: "%", per: "hosts"}
 	for _, hosts := range HostSizes {
-		bytes, err := heapOf(ctx, hosts)
+		bytes, share, err := nodeCost(ctx, hosts)
 		if err != nil {
 			return nil, fmt.Errorf("memory with %d hosts: %w", hosts, err)
 		}
 		heap.add(float64(hosts), bytes/1e6)
+		rest.add(float64(hosts), share*100)
 	}
-	return heap.rows(), nil
+	return flatten(heap, rest), nil
 }
 
-func heapOf(ctx context.Context, hosts int) (float64, error) {
+// nodeCost returns the heap in bytes and the share of a core.
+func nodeCost(ctx context.Context, hosts int) (float64, float64, error) {
 	dir, err := os.MkdirTemp("", "toucangw-bench")
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	if err := publish(dir, hosts); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	source, err := platform.New(platform.Config{Dir: dir})
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	server := httptest.NewServer(source.Handler())
 	defer server.Close()
@@ -85,17 +91,20 @@
 	go func() { done <- service.Run(ctx) }()
 	for st := service.Status(); st.InForce == 0 || st.Hosts < hosts; st = service.Status() {
 		if ctx.Err() != nil {
-			return 0, fmt.Errorf("not loaded within %s: %+v", loadTime, st)
+			return 0, 0, fmt.Errorf("not loaded within %s: %+v", loadTime, st)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	time.Sleep(200 * time.Millisecond) // callbacks
 	after := heapInUse()
+	start := cpuTime()
+	time.Sleep(restTime)
+	share := float64(cpuTime()-start) / float64(restTime)
 	cancel()
 	err = <-done
 	runtime.KeepAlive(current)
 	runtime.KeepAlive(usable)
-	return after - before, err
+	return after - before, share, err
 }
 
 func siteCompiler(k *settings.Compiler, site string) confsync.Compiler {
--- a/bench/control/rows.go
+++ b/bench/control/rows.go
@@ -64,6 +64,7 @@
 type series struct {
 	scenario, variant, metric, unit, per string
 	x, y                                 []float64
+	scale                                float64 // sizes to which the slope refers; 1000 if 0
 }
 
 func (s *series) add(x, y float64) {
@@ -75,13 +76,17 @@
 func (s *series) rows() []Row {
 	var out []Row
 	for i := range s.x {
-		out = append(out, s.row(fmt.Sprintf("%s at %.0f %s", s.metric, s.x[i], s.per), s.unit, s.y[i]))
+		out = append(out, s.row(fmt.Sprintf("%s at %.4g %s", s.metric, s.x[i], s.per), s.unit, s.y[i]))
 	}
 	f := FitLine(s.x, s.y)
-	perUnit := s.unit + " per 1000 " + s.per
+	scale := s.scale
+	if scale == 0 {
+		scale = 1000
+	}
+	perUnit := fmt.Sprintf("%s per %.0f %s", s.unit, scale, s.per)
 	return append(out,
-		s.row(s.metric+": slope", perUnit, f.Slope*1000),
-		s.row(s.metric+": standard error of slope", perUnit, f.SlopeErr*1000),
+		s.row(s.metric+": slope", perUnit, f.Slope*scale),
+		s.row(s.metric+": standard error of slope", perUnit, f.SlopeErr*scale),
 		s.row(s.metric+": intercept", s.unit, f.Intercept),
 		s.row(s.metric+": R2", "", f.R2),
 	)
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -58,6 +58,7 @@
 	entries map[HostID]*entry
 	zones   map[string][]HostID // hosts of the view by zone
 	pending map[string]List     // lists that traffic contradicts
+	loose   map[string]bool     // zones with hosts that only traffic keeps
 	// said holds what hosts said that are not in the view (yet).
 	said    map[HostID]saying
 	version uint64
@@ -80,6 +81,7 @@
 		entries: map[HostID]*entry{},
 		zones:   map[string][]HostID{},
 		pending: map[string]List{},
+		loose:   map[string]bool{},
 		said:    map[HostID]saying{},
 		cache:   cache{touched: map[HostID]bool{}},
 	}
@@ -112,6 +114,7 @@
 		e.listed = false
 		if e.alive(now) {
 			ids = append(ids, id)
+			v.loose[list.Zone] = true
 		} else {
 			v.drop(id)
 		}
@@ -226,14 +229,24 @@
 	for _, zone := range slices.Sorted(maps.Keys(v.pending)) {
 		v.SetList(now, v.pending[zone])
 	}
-	for zone, ids := range v.zones {
-		if v.holds(zone) {
-			continue
-		}
-		kept := slices.DeleteFunc(ids, func(id HostID) bool { return v.dropSilent(now, zone, id) })
-		if len(kept) < len(ids) {
-			v.zones[zone] = kept
-		}
+	for _, zone := range slices.Sorted(maps.Keys(v.loose)) {
+		v.dropSilentHosts(now, zone)
+	}
+}
+
+// dropSilentHosts drops the unlisted hosts of a zone whose traffic has ended.
+func (v *view) dropSilentHosts(now time.Time, zone string) {
+	if v.holds(zone) {
+		return
+	}
+	loose := false
+	v.zones[zone] = slices.DeleteFunc(v.zones[zone], func(id HostID) bool {
+		gone := v.dropSilent(now, zone, id)
+		loose = loose || !gone && !v.entries[id].listed
+		return gone
+	})
+	if !loose {
+		delete(v.loose, zone)
 	}
 }
 
--- a/core/spread/exchange.go
+++ b/core/spread/exchange.go
@@ -24,24 +24,26 @@
 	if len(s.nodes) == 0 {
 		return s.exchangeWithSeed(now)
 	}
-	var out []Action
-	s.rotation++
 	id, ok := s.partners.one()
-	if ok && !s.exchangesWithReader() {
-		out = append(out, SendExchange{To: id, Request: s.request(now)})
-	}
-	if reader, ok := s.readerToAsk(); ok {
-		out = append(out, SendExchange{To: reader, Request: s.request(now)})
+	if !ok {
+		return nil
 	}
-	return out
+	return []Action{SendExchange{To: id, Request: s.request(now)}}
 }
 
-// exchangesWithReader reports whether this period has no exchange with a
-// partner: readers and deputies leave out every second one, since deputies ask
-// a reader in each period. Without this the readers need half as many bytes
-// again as other nodes.
-func (s *State) exchangesWithReader() bool {
-	return s.rank < ReadersPerZone+deputies && s.rotation%2 == 1 && len(s.partners.local.all) > localPartners
+// exchangePeriod is twice as long for readers and deputies, which also exchange
+// with each other. Without this, readers need half as many bytes again as other
+// nodes.
+func (s *State) exchangePeriod() time.Duration {
+	switch {
+	case len(s.nodes) == 0:
+		return seedPeriod
+	case s.config.force.Revision == 0:
+		return startPeriod
+	case s.rank < ReadersPerZone+deputies && len(s.partners.local.all) > localPartners:
+		return 2 * ExchangePeriod
+	}
+	return ExchangePeriod
 }
 
 func (s *State) exchangeWithSeed(now time.Time) []Action {
@@ -52,11 +54,15 @@
 	return []Action{SendExchange{To: id, Request: s.request(now)}}
 }
 
-// readerToAsk returns the reader that a deputy asks for a sign, in rotation.
-func (s *State) readerToAsk() (member.HostID, bool) {
-	if s.rank < ReadersPerZone || s.rank >= ReadersPerZone+deputies || len(s.readers) == 0 {
+// readerToAsk returns the reader that a deputy asks now for a sign, in
+// rotation.
+func (s *State) readerToAsk(now time.Time) (member.HostID, bool) {
+	deputy := s.rank >= ReadersPerZone && s.rank < ReadersPerZone+deputies
+	if !deputy || len(s.readers) == 0 || now.Before(s.nextSign) {
 		return "", false
 	}
+	s.nextSign = now.Add(signPeriod)
+	s.rotation++
 	return s.readers[s.rotation%len(s.readers)], true
 }
 
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -31,7 +31,7 @@
 	// deputies watch the readers directly and take over first.
 	deputies = 3
 	// deputyDelay is the age of the newest sign of a reader at which deputies
-	// take over. They ask one reader each period in rotation, so with two of
+	// take over. They ask one reader each signPeriod in rotation, so with two of
 	// three readers dead the sign of the third is at most three periods old.
 	deputyDelay = 3500 * time.Millisecond
 	// otherDelay is the age at which nodes behind the deputies take over. Signs
@@ -53,7 +53,14 @@
 	fetchStep     = 50 * time.Millisecond
 
 	// ExchangePeriod is the mean time between two exchanges that a node begins.
-	ExchangePeriod = time.Second
+	// At one second the busiest of 800 nodes needed 2.96 KB/s.
+	ExchangePeriod = 1500 * time.Millisecond
+	// startPeriod applies while no configuration is in force, and seedPeriod
+	// while only seeds are known, which all starting nodes ask.
+	startPeriod = 500 * time.Millisecond
+	seedPeriod  = time.Second
+	// signPeriod is the time between two exchanges of a deputy with a reader.
+	signPeriod = time.Second
 	// watchWait is how long a read of the platform may wait for a change.
 	watchWait = 10 * time.Second
 
--- a/core/spread/state.go
+++ b/core/spread/state.go
@@ -33,6 +33,7 @@
 	start        startState
 	nextExchange time.Time
 	rotation     int       // of the readers that a deputy asks
+	nextSign     time.Time // when a deputy asks the next reader
 	freshFacts   []Fact    // to push at the next tick
 	factSweep    time.Time // next removal of expired facts
 	detailedAt   map[string]time.Time
@@ -118,8 +119,11 @@
 	out = append(out, s.pushFacts(now)...)
 	if !now.Before(s.nextExchange) {
 		out = append(out, s.exchange(now)...)
-		jitter := time.Duration(s.cfg.Random(int(ExchangePeriod) * 2 / 5))
-		s.nextExchange = now.Add(ExchangePeriod*4/5 + jitter)
+		period := s.exchangePeriod()
+		s.nextExchange = now.Add(period*4/5 + s.upTo(period*2/5))
+	}
+	if reader, ok := s.readerToAsk(now); ok {
+		out = append(out, SendExchange{To: reader, Request: s.request(now)})
 	}
 	if !now.Before(s.factSweep) {
 		s.facts.expire(now)
