--- a/core/spread/exchange.go
+++ b/core/spread/exchange.go
@@ -98,6 +98,9 @@
 		if u := l.offer(v); u != nil {
 			reply.Updates = append(reply.Updates, *u)
 		}
+		if told := l.shown(); told.revision > max(v.Rejected, v.InForce) {
+			explain(reply.Sets, v.Prefix, told.reason)
+		}
 	}
 	if req.Facts != s.facts.digest {
 		reply.Facts = s.facts.newest(now, factsPerMessage)
@@ -105,11 +108,25 @@
 	return reply, nil
 }
 
+// explain adds the reason of a rejection.
+func explain(sets []SetVersion, prefix, reason string) {
+	for i := range sets {
+		if sets[i].Prefix == prefix {
+			sets[i].Reason = reason
+		}
+	}
+}
+
 func (s *State) exchangeReplied(now time.Time, e ExchangeReplied) []Action {
 	s.takeSign(now, e.Reply.Sign)
 	out := s.learn(now, e.Reply.Facts)
 	out = append(out, s.takeUpdates(e.Reply.Updates)...)
 	s.peerAnswered(now, e.From, e.Reply.Sets)
+	for _, v := range e.Reply.Sets {
+		if l := s.lane(v.Prefix); l != nil {
+			l.tell(rejection{v.Rejected, v.Reason})
+		}
+	}
 	out = append(out, s.askDetailed(now, e)...)
 	push := s.behind(e.Reply.Sets)
 	var facts []Fact
--- a/core/spread/fleet_test.go
+++ b/core/spread/fleet_test.go
@@ -83,6 +83,10 @@
 		require.Equal(t, bad, n.State.Status().Rejected)
 		require.Equal(t, "base is invalid", n.State.Status().Reason)
 	}
+	f.Run(20 * time.Second)
+	for _, n := range f.Nodes {
+		require.Equal(t, "base is invalid", n.State.Status().Reason, "operators see it at any node")
+	}
 	good := f.Platform.Put(spread.BaseName, base(1))
 	require.Less(t, f.Spread(good, 30*time.Second), bound)
 	require.Zero(t, f.Readers()[0].State.Status().Rejected)
--- a/core/spread/lane.go
+++ b/core/spread/lane.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 const (
@@ -30,8 +31,8 @@
 	// valid with every overlay.
 	own      bool
 	judging  *Set
-	rejected uint64
-	reason   string
+	rejected uint64 // newest revision that this node found not valid
+	told     rejection
 	discards int // updates and answers that were torn or corrupt
 
 	staged  map[string]Value // verified values of an incomplete update
@@ -41,6 +42,36 @@
 	packed  map[string]Delta // whole values, kept once compressed
 }
 
+// rejection tells that a set is not valid, as this node or a peer found.
+type rejection struct {
+	revision uint64
+	reason   string
+}
+
+// maxReason bounds the text that is passed on.
+const maxReason = 2048
+
+// tell keeps the newest rejection. Only readers judge what the platform
+// publishes; other nodes show their verdict to operators.
+func (l *lane) tell(r rejection) {
+	if r.revision <= l.told.revision || r.reason == "" {
+		return
+	}
+	if len(r.reason) > maxReason {
+		r.reason = r.reason[:maxReason] + "..."
+	}
+	r.reason = strings.ToValidUTF8(r.reason, "")
+	l.told = r
+}
+
+// shown returns the rejection of a set newer than the one in force.
+func (l *lane) shown() rejection {
+	if l.told.revision <= l.force.Revision {
+		return rejection{}
+	}
+	return l.told
+}
+
 // step is one accepted change.
 type step struct {
 	update Update
@@ -53,7 +84,9 @@
 }
 
 func (l *lane) version() SetVersion {
-	return SetVersion{Prefix: l.prefix, InForce: l.force.Revision, Held: l.held.Revision}
+	return SetVersion{
+		Prefix: l.prefix, InForce: l.force.Revision, Held: l.held.Revision, Rejected: l.shown().revision,
+	}
 }
 
 // detailed lists all values held, including those of an incomplete update.
--- a/core/spread/message.go
+++ b/core/spread/message.go
@@ -14,6 +14,10 @@
 	// Versions lists the values held. It is only set in a request that asks for
 	// all values that differ.
 	Versions []Version
+	// Rejected is the newest store revision known to be not valid, above
+	// InForce; 0 for none. Reason is set in replies to nodes that do not know.
+	Rejected uint64
+	Reason   string
 }
 
 // Version names one revision of a value.
--- a/core/spread/state.go
+++ b/core/spread/state.go
@@ -170,7 +170,7 @@
 	l.judging = nil
 	if e.Reason != "" {
 		l.rejected = e.Revision
-		l.reason = e.Reason
+		l.tell(rejection{e.Revision, e.Reason})
 		return s.judge(l)
 	}
 	before := l.force.Revision
@@ -227,11 +227,8 @@
 		FactsHeld:    len(s.facts.byHost),
 		HistorySteps: len(s.config.steps) + len(s.hosts.steps),
 	}
-	if s.config.rejected > s.config.force.Revision {
-		st.Rejected, st.Reason = s.config.rejected, s.config.reason
-	}
-	if s.hosts.rejected > s.hosts.force.Revision {
-		st.BadHosts, st.BadHostsWhy = s.hosts.rejected, s.hosts.reason
-	}
+	config, hosts := s.config.shown(), s.hosts.shown()
+	st.Rejected, st.Reason = config.revision, config.reason
+	st.BadHosts, st.BadHostsWhy = hosts.revision, hosts.reason
 	return st
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -98,6 +98,7 @@
 	for _, s := range sets {
 		out = append(out, &SetVersion{
 			Prefix: s.Prefix, InForce: s.InForce, Held: s.Held, Versions: fromVersions(s.Versions),
+			Rejected: s.Rejected, Reason: s.Reason,
 		})
 	}
 	return out
@@ -108,6 +109,7 @@
 	for _, s := range sets {
 		out = append(out, spread.SetVersion{
 			Prefix: s.GetPrefix(), InForce: s.GetInForce(), Held: s.GetHeld(), Versions: toVersions(s.GetVersions()),
+			Rejected: s.GetRejected(), Reason: s.GetReason(),
 		})
 	}
 	return out
