node, cmd: test verdicts, keys, logs and the operators' commands

Cause: refusals, key queries and the commands had no tests of their own. Change: tests; a log with an unknown format left a goroutine behind, which goleak found; show names the importance of an admission level.

--- a/cmd/toucangwctl/show.go
+++ b/cmd/toucangwctl/show.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"toucangw.example/core/call"
 	"toucangw.example/node/confsync"
 	"toucangw.example/node/operator"
 )
@@ -94,7 +95,7 @@
 		s.Load.Limit, s.Load.Slots, s.Load.Running, s.Load.Queued, s.Load.WaitMs)
 	row("calls in flight\t%d\truns %d\tkeys %d (%d bytes)", s.Calls, s.Runs, s.Keys, s.KeyBytes)
 	for _, caller := range slices.Sorted(maps.Keys(s.Levels)) {
-		row("level for %s\t%d", caller, s.Levels[caller])
+		row("admitted for %s\t%s", caller, admitted(call.Rank(s.Levels[caller])))
 	}
 	row("")
 	row("MEMBER\tSERVICE\tZONE\tADDRESS\tSTATUS\tINCARNATION")
@@ -122,3 +123,11 @@
 		return "not ready"
 	}
 }
+
+// admitted describes an admission level.
+func admitted(level call.Rank) string {
+	if level == 0 {
+		return "all"
+	}
+	return fmt.Sprintf("%s from rank %d on", level.Importance(), level)
+}
--- a/cmd/toucangwd/process_test.go
+++ b/cmd/toucangwd/process_test.go
@@ -123,6 +123,12 @@
 	r := <-broken
 	require.Equal(t, "may-have-run", r.header.Get("Toucangw-Verdict"), "%s", r.body)
 
+	state, err := send(http.MethodGet, "http://"+entry.callers+"/.toucangw/keys/"+key, nil, "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusConflict, state.status)
+	require.Equal(t, "owner-unreachable", state.header.Get("Toucangw-Reason"))
+	require.Equal(t, "may-have-run", state.header.Get("Toucangw-Verdict"))
+
 	owner.upstream.SetMode(upstream.Mode{})
 	f.start(owner)
 	f.waitReady(owner)
--- a/node/telemetry/log.go
+++ b/node/telemetry/log.go
@@ -23,16 +23,18 @@
 	if err := l.SetLevel(level); err != nil {
 		return nil, err
 	}
-	l.writer = NewWriter(w)
 	options := &slog.HandlerOptions{Level: l.Level}
-	switch format {
-	case "", "text":
-		l.Logger = slog.New(slog.NewTextHandler(l.writer, options))
-	case "json":
-		l.Logger = slog.New(slog.NewJSONHandler(l.writer, options))
-	default:
+	handlers := map[string]func(io.Writer) slog.Handler{
+		"":     func(w io.Writer) slog.Handler { return slog.NewTextHandler(w, options) },
+		"text": func(w io.Writer) slog.Handler { return slog.NewTextHandler(w, options) },
+		"json": func(w io.Writer) slog.Handler { return slog.NewJSONHandler(w, options) },
+	}
+	handler := handlers[format]
+	if handler == nil {
 		return nil, fmt.Errorf("log format %q is neither text nor json", format)
 	}
+	l.writer = NewWriter(w)
+	l.Logger = slog.New(handler(l.writer))
 	l.Decisions = l.Logger
 	return &l, nil
 }
