--- a/node/httpapi/call.go
+++ b/node/httpapi/call.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +27,7 @@
 	maxCaller    = 256
 	maxRequestID = 256
 	maxKey       = 2 << 10
+	maxPath      = 8 << 10 // with query; peers accept 16 KiB
 	maxTimeout   = 10 * time.Minute
 )
 
@@ -95,7 +98,10 @@
 	if len(arrived.Key) > maxKey {
 		return arrived, fmt.Errorf("%s has %d bytes, above the limit of %d", HeaderKey, len(arrived.Key), maxKey)
 	}
-	arrived.Service, arrived.Path = splitPath(ctx.Request().URL.RequestURI())
+	var err error
+	if arrived.Service, arrived.Path, err = splitPath(ctx.Request().URL); err != nil {
+		return arrived, err
+	}
 	attempt, err := number(ctx, HeaderAttempt)
 	if err != nil {
 		return arrived, err
@@ -110,18 +116,26 @@
 }
 
 // splitPath separates the service from the path that the upstream sees,
-// including the query.
-func splitPath(uri string) (service, path string) {
-	uri = strings.TrimPrefix(uri, "/")
-	end := strings.IndexAny(uri, "/?")
-	if end < 0 {
-		return uri, "/"
-	}
-	service, path = uri[:end], uri[end:]
-	if path[0] == '?' {
-		path = "/" + path
-	}
-	return service, path
+// including the query. The path has one spelling only: an upstream that
+// resolves dots or escapes would otherwise see a path of another kind than the
+// one that was judged.
+func splitPath(u *url.URL) (service, rest string, err error) {
+	if len(u.EscapedPath()) > maxPath || len(u.RawQuery) > maxPath-len(u.EscapedPath()) {
+		return "", "", fmt.Errorf("path and query are above the limit of %d bytes", maxPath)
+	}
+	if strings.Count(u.Path, "/") != strings.Count(u.EscapedPath(), "/") {
+		return "", "", errors.New("path has an escaped slash")
+	}
+	if clean := path.Clean(u.Path); clean != u.Path && clean+"/" != u.Path {
+		return "", "", errors.New("path has empty or dot segments")
+	}
+	canonical := (&url.URL{Path: u.Path}).EscapedPath()
+	service, rest, _ = strings.Cut(strings.TrimPrefix(canonical, "/"), "/")
+	rest = "/" + rest
+	if u.RawQuery != "" {
+		rest += "?" + u.RawQuery
+	}
+	return service, rest, nil
 }
 
 func number(ctx iris.Context, header string) (int64, error) {
@@ -182,7 +196,7 @@
 	if answer.ContentType != "" {
 		h.Set("Content-Type", answer.ContentType)
 	}
-	if bodyAllowed(answer.Status) {
+	if bodyAllowed(answer.Status) && ctx.Method() != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	ctx.ResponseWriter().WriteHeader(answer.Status)
