node: wake up 40 instead of 70 times a second when idle

Change: one ticker of 25 ms for both. Conclusion: a silent connection is noticed after at most 325 ms instead of 320.

--- a/node/events.go
+++ b/node/events.go
@@ -108,24 +108,24 @@
 	return p.Services[n.settings.Host.Service].ProbePath
 }
 
-// silenceCheck is the time between searches for silent connections. It adds
-// to the time that a call waits before its connection is replaced.
-const silenceCheck = 20 * time.Millisecond
+// silenceChecks is the number of searches for silent connections in each tick.
+// The time between them adds to the time that a call waits before its
+// connection is replaced.
+const silenceChecks = 2
 
 // tickLoop drives time in the engine and the search for silent connections.
 func (n *Node) tickLoop(ctx context.Context) {
-	tick := time.NewTicker(engine.TickInterval)
-	defer tick.Stop()
-	check := time.NewTicker(silenceCheck)
-	defer check.Stop()
-	for {
+	ticker := time.NewTicker(engine.TickInterval / silenceChecks)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-ticker.C:
+		}
+		n.links.Check()
+		if i%silenceChecks == 0 {
 			n.driver.Tick()
-		case <-check.C:
-			n.links.Check()
 		}
 	}
 }
