cmd/internal/demo: take ports that outgoing connections do not use

Change: ports between 20000 and 30000; a child that ends early fails the demo with its name and log. Conclusion: the demo no longer depends on the ephemeral port range.

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -81,6 +81,9 @@
 	if err := r.fleet.start(ctx); err != nil {
 		return err
 	}
+	if err := r.fleet.anyEnded(); err != nil {
+		return err
+	}
 	r.progress("all nodes have a configuration in force and know all hosts")
 	for _, phase := range []func(context.Context) error{
 		r.coldStart, r.steady, r.surge, r.recovery, r.slowDeep, r.silent, r.leave, r.change, r.checkRuns,
--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -141,7 +141,21 @@
 			return err
 		}
 	}
-	return until(ctx, startTimeout, "nodes ready", func() bool { return f.allNodes(f.ready) })
+	var ended error
+	err = until(ctx, startTimeout, "nodes ready", func() bool {
+		ended = f.anyEnded()
+		return ended != nil || f.allNodes(f.ready)
+	})
+	return errors.Join(err, ended)
+}
+
+// anyEnded returns an error if a process of the fleet has ended.
+func (f *fleet) anyEnded() error {
+	err := f.platform.failed()
+	for _, h := range f.hosts {
+		err = errors.Join(err, h.node.failed(), h.upstream.failed())
+	}
+	return err
 }
 
 // startRelay puts a relay in front of one node, to make its connections silent.
--- a/cmd/internal/demo/process.go
+++ b/cmd/internal/demo/process.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -64,6 +66,16 @@
 	}
 }
 
+// failed returns an error if the process has ended.
+func (p *process) failed() error {
+	select {
+	case <-p.done:
+		return fmt.Errorf("%s ended unexpectedly (%v); see %s", p.name, p.err, p.log.Name())
+	default:
+		return nil
+	}
+}
+
 // output runs a program to its end and returns its standard output.
 func output(ctx context.Context, program string, args ...string) ([]byte, error) {
 	cmd := exec.CommandContext(ctx, program, args...)
@@ -78,18 +90,36 @@
 	return out, nil
 }
 
+// Ports for the children are below the ports that systems give to outgoing
+// connections, which could otherwise take one before a child listens on it.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
 // freePorts returns loopback addresses that are free at the moment.
 func freePorts(n int) ([]string, error) {
 	var addrs []string
-	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+	port := firstPort + rand.IntN(lastPort-firstPort)
+	for range lastPort - firstPort {
+		if len(addrs) == n {
+			return addrs, nil
+		}
+		port++
+		if port == lastPort {
+			port = firstPort
+		}
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		lis, err := net.Listen("tcp", addr)
 		if err != nil {
+			continue
+		}
+		if err := lis.Close(); err != nil {
 			return nil, err
 		}
-		defer func() { _ = lis.Close() }()
-		addrs = append(addrs, lis.Addr().String())
+		addrs = append(addrs, addr)
 	}
-	return addrs, nil
+	return nil, fmt.Errorf("no %d free ports between %d and %d", n, firstPort, lastPort)
 }
 
 // until polls a condition.
