--- a/node/driver/actions.go
+++ b/node/driver/actions.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -77,6 +78,9 @@
 	case engine.Record:
 		if e := d.entries[a.ID]; e != nil {
 			e.importance = a.Rank.Importance()
+			e.caller = a.Caller
+			e.kind = a.CallKind
+			e.host = a.Host
 		}
 		return func() { d.cfg.Observer.Record(a) }
 	}
@@ -222,7 +226,9 @@
 	info := Answered{
 		RequestID:  e.run.RequestID,
 		Service:    e.service,
-		Caller:     e.run.Caller,
+		Caller:     cmp.Or(e.caller, e.run.Caller),
+		Kind:       e.kind,
+		Host:       e.host,
 		Importance: e.importance,
 		Refusal:    a.Refusal,
 		Latency:    now.Sub(e.started),
--- a/node/driver/driver.go
+++ b/node/driver/driver.go
@@ -72,6 +72,8 @@
 	RequestID  string
 	Service    string
 	Caller     string
+	Kind       string
+	Host       member.HostID // of the last attempt; empty if none was made
 	Importance call.Importance
 	Refusal    *verdict.Refusal // nil for an answer
 	Latency    time.Duration
@@ -130,7 +132,10 @@
 	result   chan any  // the action that ends the call; holds one
 
 	importance call.Importance
-	gone       bool // the sender no longer waits
+	caller     string // as the engine knows it: that of the parent for an outgoing call
+	kind       string
+	host       member.HostID // of the last attempt
+	gone       bool          // the sender no longer waits
 	answered   bool
 	running    bool
 	cancelRun  context.CancelFunc
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 		Spread:  n.source,
 		Allowed: n.source.Allowed,
 	})
-	n.registerGauges()
+	n.observer.Metrics.CollectState(n.telemetryState)
 	if err := n.newServers(); err != nil {
 		return err
 	}
@@ -173,7 +173,7 @@
 	}
 	n.operator, err = operator.NewServer(operator.Config{
 		Status:   n.Status,
-		Ready:    n.Ready,
+		NotReady: n.notReady,
 		Refusals: n.observer.Recent,
 		SetLevel: n.logs.SetLevel,
 		Metrics:  n.observer.Metrics.Handler(),
@@ -231,7 +231,18 @@
 }
 
 // Ready reports whether the node takes new work.
-func (n *Node) Ready() bool { return n.policy.Load() != nil && !n.leaving.Load() }
+func (n *Node) Ready() bool { return n.notReady() == "" }
+
+// notReady returns why the node takes no new work; empty if it does.
+func (n *Node) notReady() string {
+	switch {
+	case n.leaving.Load():
+		return "leaving"
+	case n.policy.Load() == nil:
+		return "no configuration in force yet"
+	}
+	return ""
+}
 
 func (n *Node) maxBody() int64 {
 	limit := n.settings.Limits.MaxBody
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -22,6 +22,7 @@
 	Service     string              `json:"service"`
 	Revision    uint64              `json:"revision"` // version in force
 	Ready       bool                `json:"ready"`
+	NotReady    string              `json:"not_ready,omitempty"` // why the node takes no new work
 	Leaving     bool                `json:"leaving"`
 	Calls       int                 `json:"calls"`
 	Runs        int                 `json:"runs"`
@@ -63,7 +64,7 @@
 // Config lists what the API needs.
 type Config struct {
 	Status   func() Status
-	Ready    func() bool
+	NotReady func() string // why the node takes no new work; empty if it does
 	Refusals func(requestID string) []telemetry.Refusal
 	SetLevel func(level string) error
 	Metrics  http.Handler
@@ -75,9 +76,9 @@
 	app.Logger().SetLevel("disable")
 	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
 	app.Get("/readyz", func(ctx iris.Context) {
-		if !cfg.Ready() {
+		if why := cfg.NotReady(); why != "" {
 			ctx.StatusCode(http.StatusServiceUnavailable)
-			_, _ = ctx.WriteString("not ready\n")
+			_, _ = ctx.WriteString("not ready: " + why + "\n")
 			return
 		}
 		_, _ = ctx.WriteString("ready\n")
--- a/node/status.go
+++ b/node/status.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"toucangw.example/core/engine"
+	"toucangw.example/core/policy"
 	"toucangw.example/node/operator"
+	"toucangw.example/node/telemetry"
 )
 
 // Status returns what operators see of the node.
@@ -20,6 +22,7 @@
 		Service:     h.Service,
 		Revision:    stats.Revision,
 		Ready:       n.Ready(),
+		NotReady:    n.notReady(),
 		Leaving:     stats.Leaving,
 		Calls:       stats.Calls,
 		Runs:        stats.Runs,
@@ -62,26 +65,36 @@
 	return members
 }
 
-func (n *Node) registerGauges() {
-	gauge := func(name, help string, value func(engine.Stats) float64) {
-		n.observer.Metrics.Gauge(name, help, func() float64 {
-			var stats engine.Stats
-			n.driver.With(func() { stats = n.engine.Stats(time.Now()) })
-			return value(stats)
-		})
+// telemetryState returns the values of the gauges.
+func (n *Node) telemetryState() telemetry.State {
+	var stats engine.Stats
+	n.driver.With(func() { stats = n.engine.Stats(time.Now()) })
+	config := n.source.Status()
+	return telemetry.State{
+		Ready:            n.Ready(),
+		Leaving:          stats.Leaving,
+		CallsInFlight:    stats.Calls,
+		Running:          stats.Load.Running,
+		Queued:           stats.Load.Queued,
+		Limit:            stats.Load.Limit,
+		Slots:            stats.Load.Slots,
+		QueueWait:        stats.Load.Wait,
+		Keys:             stats.Keys,
+		KeysMax:          policy.DefaultMaxKeys, // as in newKeys
+		KeyBytes:         stats.KeyBytes,
+		KeyBytesMax:      policy.DefaultMaxKeyBytes,
+		ConfigRevision:   stats.Revision,
+		RejectedRevision: config.Rejected,
+		HostsRevision:    config.HostRevision,
+		HostListsInvalid: config.HostsWhy != "",
+		HostListsHeld:    len(config.HeldBack),
+		Hosts:            config.Hosts,
+		Discarded:        config.Discarded,
+		PlatformReader:   config.Reader,
+		PlatformFailed:   config.PlatformErr != "",
+		PlatformAt:       config.PlatformAt,
+		LogLinesDropped:  n.linesDropped(),
 	}
-	gauge("toucangw_running", "Calls running on the guarded upstream.",
-		func(s engine.Stats) float64 { return float64(s.Load.Running) })
-	gauge("toucangw_queued", "Calls waiting for a slot of the guarded upstream.",
-		func(s engine.Stats) float64 { return float64(s.Load.Queued) })
-	gauge("toucangw_limit", "Concurrency limit of the guarded upstream.",
-		func(s engine.Stats) float64 { return float64(s.Load.Limit) })
-	gauge("toucangw_keys", "Once-only keys held.",
-		func(s engine.Stats) float64 { return float64(s.Keys) })
-	gauge("toucangw_revision", "Store revision of the configuration in force.",
-		func(s engine.Stats) float64 { return float64(s.Revision) })
-	n.observer.Metrics.Gauge("toucangw_log_lines_dropped", "Log lines lost because the writer was too slow.",
-		func() float64 { return float64(n.linesDropped()) })
 }
 
 // linesDropped returns the number of log lines lost.
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -58,11 +58,6 @@
 	return m
 }
 
-// Gauge registers a value that is read at each scrape.
-func (m *Metrics) Gauge(name, help string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
-}
-
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -78,6 +73,12 @@
 	m.latency.WithLabelValues(importance.String(), v).Observe(latency.Seconds())
 }
 
+// Rejected counts a request that was refused before its kind was known. It has
+// no latency, since nothing was decided on it.
+func (m *Metrics) Rejected(r *verdict.Refusal) {
+	m.requests.WithLabelValues(call.Background.String(), r.Verdict.String(), knownReason(r.Reason)).Inc()
+}
+
 // Decided counts a decision.
 func (m *Metrics) Decided(kind engine.DecisionKind) {
 	m.decisions.WithLabelValues(string(kind)).Inc()
--- a/node/telemetry/observer.go
+++ b/node/telemetry/observer.go
@@ -19,6 +19,8 @@
 	Time         time.Time `json:"time"`
 	RequestID    string    `json:"request_id"`
 	Service      string    `json:"service"`
+	Kind         string    `json:"kind,omitempty"`
+	Host         string    `json:"host,omitempty"` // host of the last attempt; empty if none was made
 	Caller       string    `json:"caller"`
 	Verdict      string    `json:"verdict"`
 	Reason       string    `json:"reason"`
@@ -146,14 +148,23 @@
 // Answered implements driver.Observer.
 func (o *Observer) Answered(a driver.Answered) {
 	o.Metrics.Answered(a.Importance, a.Refusal, a.Latency)
-	if a.Refusal != nil {
-		o.Refused(a.RequestID, a.Service, a.Caller, a.Refusal)
+	if a.Refusal == nil {
+		return
 	}
+	entry := newRefusal(a.RequestID, a.Service, a.Caller, a.Refusal)
+	entry.Kind = a.Kind
+	entry.Host = string(a.Host)
+	o.keep(entry)
 }
 
-// Refused keeps a refusal for operators.
+// Refused implements httpapi.Refusals.
 func (o *Observer) Refused(requestID, service, caller string, r *verdict.Refusal) {
-	entry := Refusal{
+	o.Metrics.Rejected(r)
+	o.keep(newRefusal(requestID, service, caller, r))
+}
+
+func newRefusal(requestID, service, caller string, r *verdict.Refusal) Refusal {
+	return Refusal{
 		Time:         time.Now(),
 		RequestID:    requestID,
 		Service:      service,
@@ -163,6 +174,10 @@
 		Detail:       r.Detail,
 		RetryAfterMs: r.RetryAfter.Milliseconds(),
 	}
+}
+
+// keep adds a refusal to those shown to operators.
+func (o *Observer) keep(entry Refusal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.recent) < recentRefusals {
