toucangwctl: show kind, host, peers that lag, faults in red, meaning of reasons

Change: rows and columns for these, a line of explanation for each reason shown, red on terminals only; verdict.Reasons lists the closed set, which replaces the copy in node/telemetry.

--- a/cmd/toucangwctl/command_test.go
+++ b/cmd/toucangwctl/command_test.go
@@ -60,6 +60,7 @@
 		"choices":  {[]string{"check", "--color", "a"}, []string{"always", "auto"}},
 		"joined":   {[]string{"check", "--color=a"}, []string{"--color=always", "--color=auto"}},
 		"files":    {[]string{"check", "ba"}, []string{"base.toml"}},
+		"levels":   {[]string{"loglevel", "w"}, []string{"warn"}},
 		"shells":   {[]string{"completion", ""}, []string{"bash"}},
 	}
 	for name, test := range tests {
--- a/cmd/toucangwctl/show.go
+++ b/cmd/toucangwctl/show.go
@@ -1,15 +1,20 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
+	"toucangw.example/core/call"
+	"toucangw.example/core/verdict"
 	"toucangw.example/node/confsync"
 	"toucangw.example/node/operator"
 )
@@ -65,7 +70,7 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(s)
 	}
-	return s.write(c.env.out)
+	return s.write(c.env.out, time.Now(), c.env.terminal)
 }
 
 func (s *shown) selectRefusals(requestID string, most int) {
@@ -78,40 +83,142 @@
 	s.Refusals = kept[:min(len(kept), max(most, 0))]
 }
 
-func (s *shown) write(out io.Writer) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	row := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
-	row("host\t%s\tservice %s\tzone %s\tsite %s", s.Host, s.Service, s.Zone, s.Site)
-	row("state\t%s\tlog level %s\tincarnation %d", s.state(), s.LogLevel, s.Incarnation)
-	row("version in force\t%d\tat known peers: %t", s.Revision, s.Config.Everywhere)
+// table prints aligned rows.
+type table struct{ *tabwriter.Writer }
+
+func newTable(out io.Writer) table { return table{tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)} }
+
+func (t table) row(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
+
+func (s *shown) write(out io.Writer, now time.Time, colour bool) error {
+	t := newTable(out)
+	t.row("host\t%s\tservice %s\tzone %s\tsite %s", s.Host, s.Service, s.Zone, s.Site)
+	t.row("state\t%s\tlog level %s\tincarnation %d", s.state(), s.LogLevel, s.Incarnation)
+	s.writeConfig(t, now)
+	if s.Service != "" && s.Ready && s.Load.Slots == 0 {
+		t.row("limit\tthe configuration in force has no service %s; its calls are refused", s.Service)
+	} else {
+		t.row("limit\t%d of %d slots\trunning %d\tqueued %d\twait %d ms",
+			s.Load.Limit, s.Load.Slots, s.Load.Running, s.Load.Queued, s.Load.WaitMs)
+	}
+	t.row("calls in flight\t%d\truns %d\tkeys %d (%d bytes)", s.Calls, s.Runs, s.Keys, s.KeyBytes)
+	for _, caller := range slices.Sorted(maps.Keys(s.Levels)) {
+		t.row("level for %s\t%s", caller, levelText(s.Levels[caller]))
+	}
+	if s.Dropped > 0 {
+		t.row("log lines dropped\t%d", s.Dropped)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if err := s.writeFaults(out, colour); err != nil {
+		return err
+	}
+	return s.writeLists(out)
+}
+
+// writeConfig shows which versions are in force and where they come from.
+func (s *shown) writeConfig(t table, now time.Time) {
+	same := 0
+	for _, p := range s.Config.Peers {
+		if p.InForce >= s.Config.InForce {
+			same++
+		}
+	}
+	t.row("version in force\t%s\tat %d of %d peers heard in the last minute",
+		revisionText(s.Revision), same, len(s.Config.Peers))
+	for _, p := range s.Config.Peers {
+		if p.InForce < s.Config.InForce {
+			t.row("behind\t%s\thas %s", p.Host, revisionText(p.InForce))
+		}
+	}
+	t.row("host lists\t%s\t%s", revisionText(s.Config.HostRevision), plural(s.Config.Hosts, "host"))
+	role := "read by other nodes of the zone"
+	if s.Config.Reader {
+		role = "read by this node"
+	}
+	last := "no answer yet"
+	if !s.Config.PlatformAt.IsZero() {
+		last = fmt.Sprintf("last answer %s ago", now.Sub(s.Config.PlatformAt).Round(time.Second))
+	}
+	t.row("platform\t%s\t%s", role, last)
+}
+
+// revisionText shows a store revision.
+func revisionText(revision uint64) string {
+	if revision == 0 {
+		return "none"
+	}
+	return strconv.FormatUint(revision, 10)
+}
+
+// levelText shows an admission level: the importance from which calls are
+// admitted, and the number that the decision log shows as rank.
+func levelText(level uint32) string {
+	if level == 0 {
+		return "all admitted"
+	}
+	return fmt.Sprintf("from rank %d (%s) on", level, call.Rank(level).Importance())
+}
+
+// writeFaults shows what needs a person, in red on a terminal.
+func (s *shown) writeFaults(out io.Writer, colour bool) error {
+	var faults []string
 	if s.Config.Rejected != 0 {
-		row("rejected version\t%d\t%s", s.Config.Rejected, s.Config.RejectedWhy)
+		faults = append(faults, fmt.Sprintf("rejected version %d: %s", s.Config.Rejected, s.Config.RejectedWhy))
+	}
+	if s.Config.HostsWhy != "" {
+		faults = append(faults, "rejected host lists: "+s.Config.HostsWhy)
+	}
+	if len(s.Config.HeldBack) > 0 {
+		faults = append(faults, "host lists held back, they drop hosts that answer: "+strings.Join(s.Config.HeldBack, ", "))
 	}
 	if s.Config.PlatformErr != "" {
-		row("platform\t%s", s.Config.PlatformErr)
+		faults = append(faults, "platform: "+s.Config.PlatformErr)
 	}
-	row("limit\t%d of %d slots\trunning %d\tqueued %d\twait %d ms",
-		s.Load.Limit, s.Load.Slots, s.Load.Running, s.Load.Queued, s.Load.WaitMs)
-	row("calls in flight\t%d\truns %d\tkeys %d (%d bytes)", s.Calls, s.Runs, s.Keys, s.KeyBytes)
-	for _, caller := range slices.Sorted(maps.Keys(s.Levels)) {
-		row("level for %s\t%d", caller, s.Levels[caller])
+	for _, fault := range faults {
+		text := strings.ReplaceAll(strings.TrimSpace(fault), "\n", "\n  ")
+		if colour {
+			text = styleRed + text + styleReset
+		}
+		if _, err := fmt.Fprintln(out, text); err != nil {
+			return err
+		}
 	}
-	row("")
-	row("MEMBER\tSERVICE\tZONE\tADDRESS\tSTATUS\tINCARNATION")
+	return nil
+}
+
+func (s *shown) writeLists(out io.Writer) error {
+	t := newTable(out)
+	t.row("")
+	t.row("MEMBER\tSERVICE\tZONE\tADDRESS\tSTATUS\tINCARNATION")
 	for _, m := range s.Members {
-		row("%s\t%s\t%s\t%s\t%s\t%d", m.Host, m.Service, m.Zone, m.Addr, m.Status, m.Incarnation)
+		t.row("%s\t%s\t%s\t%s\t%s\t%d", m.Host, m.Service, m.Zone, m.Addr, m.Status, m.Incarnation)
 	}
-	if len(s.Refusals) > 0 {
-		row("")
-		row("REFUSED AT\tREQUEST\tSERVICE\tCALLER\tVERDICT\tREASON\tDETAIL")
+	if err := t.Flush(); err != nil || len(s.Refusals) == 0 {
+		return err
 	}
+	t.row("")
+	t.row("REFUSED AT\tREQUEST\tSERVICE\tKIND\tCALLER\tHOST\tVERDICT\tREASON\tDETAIL")
+	seen := make(map[string]bool)
 	for _, r := range s.Refusals {
-		row("%s\t%s\t%s\t%s\t%s\t%s\t%s",
-			r.Time.Format(time.TimeOnly), r.RequestID, r.Service, r.Caller, r.Verdict, r.Reason, r.Detail)
+		seen[r.Reason] = true
+		t.row("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s", r.Time.Format(time.TimeOnly), r.RequestID, r.Service,
+			orDash(r.Kind), orDash(r.Caller), orDash(r.Host), r.Verdict, r.Reason, orDash(r.Detail))
 	}
-	return w.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	t.row("")
+	for _, reason := range slices.Sorted(maps.Keys(seen)) {
+		t.row("%s\t%s", reason, reasonMeaning[verdict.Reason(reason)])
+	}
+	return t.Flush()
 }
 
+// orDash keeps an empty cell visible.
+func orDash(s string) string { return cmp.Or(s, "-") }
+
 func (s *shown) state() string {
 	switch {
 	case s.Leaving:
@@ -119,6 +226,6 @@
 	case s.Ready:
 		return "ready"
 	default:
-		return "not ready"
+		return "not ready: " + s.NotReady
 	}
 }
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -79,6 +79,16 @@
 	StaleIncarnation Reason = "stale-incarnation"
 )
 
+// Reasons returns all reasons of this version.
+func Reasons() []Reason {
+	return []Reason{
+		QueueFull, DeadlineUnmet, DeadlinePassed, Pressure, NoUpstream, Leaving, Starting, ConnectionLost, NotWhole,
+		UpstreamShed, UpstreamFailed, RetryBound, Cancelled, Paused, KeyRequired, KeyFenced, KeyUnknown, KeyMismatch,
+		KeyTableFull, OwnerGone, UnknownCaller, UnknownKind, BadRequest, NotMember, WrongService, DepthExceeded,
+		StaleIncarnation,
+	}
+}
+
 // Refusal is the error that reaches a caller in place of an answer.
 type Refusal struct {
 	Verdict Verdict
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -90,14 +90,14 @@
 // Paused counts a late wake-up.
 func (m *Metrics) Paused() { m.pauses.Inc() }
 
-var reasons = map[verdict.Reason]bool{
-	verdict.QueueFull: true, verdict.DeadlineUnmet: true, verdict.DeadlinePassed: true, verdict.Pressure: true,
-	verdict.NoUpstream: true, verdict.Leaving: true, verdict.Starting: true, verdict.ConnectionLost: true,
-	verdict.NotWhole: true, verdict.UpstreamShed: true, verdict.UpstreamFailed: true, verdict.RetryBound: true,
-	verdict.Cancelled: true, verdict.Paused: true, verdict.KeyRequired: true, verdict.KeyFenced: true,
-	verdict.KeyUnknown: true, verdict.KeyMismatch: true, verdict.KeyTableFull: true, verdict.OwnerGone: true,
-	verdict.UnknownCaller: true, verdict.UnknownKind: true, verdict.BadRequest: true, verdict.NotMember: true,
-	verdict.WrongService: true, verdict.DepthExceeded: true, verdict.StaleIncarnation: true,
+var reasons = reasonSet()
+
+func reasonSet() map[verdict.Reason]bool {
+	set := make(map[verdict.Reason]bool)
+	for _, r := range verdict.Reasons() {
+		set[r] = true
+	}
+	return set
 }
 
 // knownReason keeps the label set bounded when a peer of another version
