--- a/standin/upstream/deployments.go
+++ b/standin/upstream/deployments.go
@@ -28,6 +28,13 @@
 }
 
 var deployments = map[string]map[string][]Route{
+	// The single service of docs/operate-start.md.
+	"start": {
+		"orders": {
+			read("/orders", 5),
+			write("/orders", 10),
+		},
+	},
 	"drooglog": {
 		"batchlog": {
 			read("/batches", 8, get("ledger", "/entries/batches")),
