--- a/settings/example_files_test.go
+++ b/settings/example_files_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -89,3 +90,25 @@
 		}
 	}
 }
+
+// Guards against a page for beginners whose files are not valid, or differ from
+// those in examples/start.
+func TestStartPageMatchesFiles(t *testing.T) {
+	dir := filepath.Join("..", "examples", "start")
+	node := loadFile(t, filepath.Join(dir, "node.toml"))
+	base := loadFile(t, filepath.Join(dir, "published", "base.toml"))
+	overlay := loadFile(t, filepath.Join(dir, "published", "overlay", "home-a.toml"))
+	_, problems := settings.ParseNode(node)
+	require.NoError(t, problems.Err())
+	_, problems = settings.Compile(1, base, map[string]settings.Source{"home-a": overlay})
+	require.NoError(t, problems.Err())
+
+	page := loadFile(t, filepath.Join("..", "docs", "operate-start.md"))
+	blocks := regexp.MustCompile("(?s)```toml\n(.*?)```").FindAllStringSubmatch(string(page.Data), -1)
+	require.Len(t, blocks, 3)
+	for i, file := range []settings.Source{node, base, overlay} {
+		require.Contains(t, string(file.Data), blocks[i][1], file.Name)
+	}
+	hosts := loadFile(t, filepath.Join(dir, "published", "hosts", "home-a.json"))
+	require.Contains(t, string(page.Data), string(hosts.Data))
+}
