--- /dev/null
+++ b/core/once/example_test.go
@@ -0,0 +1,61 @@
+package once_test
+
+import (
+	"fmt"
+	"time"
+
+	"toucangw.example/core/call"
+	"toucangw.example/core/once"
+)
+
+var start = time.Unix(0, 0)
+
+func newLedger() once.Ledger {
+	ledger, err := once.New(once.Config{
+		Host: "release-1", Incarnation: 1, Start: start, Secret: make([]byte, once.SecretLen),
+		Nonce: func() uint64 { return 7 }, Lifetime: 10 * time.Minute, MaxKeys: 100, MaxAnswerBytes: 1 << 20,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return ledger
+}
+
+// The first submission runs, a repeat gets the stored answer.
+func ExampleNew() {
+	ledger := newLedger()
+	key, _ := ledger.Issue(start, "release", "scheldt")
+	request := &call.Request{Service: "release", Caller: "scheldt", Digest: 42}
+
+	first := ledger.Submit(start, key, request)
+	fmt.Println(first.Step == once.Start, ledger.Begin(start, key))
+	fmt.Println(ledger.Submit(start, key, request).Step == once.Join)
+
+	ledger.Finish(start, key, &call.Answer{Status: 200, Body: []byte("signed off")})
+	again := ledger.Submit(start, key, request)
+	fmt.Println(again.Step == once.Replay, string(again.Answer.Body))
+
+	request.Digest = 43
+	fmt.Println(ledger.Submit(start, key, request).Refusal)
+	// Output:
+	// true true
+	// true
+	// true signed off
+	// key-mismatch (may-have-run): the key was used with another request
+}
+
+// A fenced key never runs, so "not run" holds for good.
+func ExampleLedger() {
+	ledger := newLedger()
+	key, _ := ledger.Issue(start, "release", "scheldt")
+	state, _ := ledger.Query(start, key, "scheldt")
+	fmt.Println(state, "->", ledger.Fence(start, key))
+	submission := ledger.Submit(start, key, &call.Request{Service: "release", Caller: "scheldt"})
+	fmt.Println(submission.Refusal)
+	owner, _ := once.ParseOwner(key)
+	fmt.Println(owner.Host, owner.Incarnation)
+	// Output:
+	// unseen -> fenced
+	// key-fenced (not-run): the key was refused before and never runs
+	// release-1 1
+}
