--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@out=$$(gofmt -l $(MODULES)); test -z "$$out" || { echo "gofmt would change:"; echo "$$out"; exit 1; }
 
 lint:
-	$(GOBIN)/golangci-lint run $(PACKAGES)
+	$(GOBIN)/golangci-lint run --allow-parallel-runners $(PACKAGES)
 
 unit:
 	go test -count=1 -timeout 15m $(PACKAGES)
--- a/cmd/toucangwctl/node_test.go
+++ b/cmd/toucangwctl/node_test.go
@@ -54,14 +54,14 @@
 }
 
 // Guards what operators see of a running node, for people and for scripts.
-func TestShow(t *testing.T) {
+func TestShowRunningNode(t *testing.T) {
 	addrs := startNode(t)
 	_, err := request(http.MethodGet, "http://"+addrs.Callers+"/release/other", http.Header{"X-Request-Id": {"odd-1"}}, nil)
 	require.NoError(t, err)
 	text := runTool("show", "--node", addrs.Operator)
 	require.Equal(t, exitOK, text.code, text.err)
 	require.Regexp(t, `version in force +7 `, text.out)
-	require.Regexp(t, `admitted for polder +all`, text.out)
+	require.Regexp(t, `level for polder +all admitted`, text.out)
 	for _, want := range []string{"release-1", "MEMBER", addrs.Peers, "odd-1", "unknown-kind"} {
 		require.Contains(t, text.out, want)
 	}
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -58,11 +58,6 @@
 	return m
 }
 
-// Gauge registers a value that is read at each scrape.
-func (m *Metrics) Gauge(name, help string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
-}
-
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -78,6 +73,12 @@
 	m.latency.WithLabelValues(importance.String(), v).Observe(latency.Seconds())
 }
 
+// Rejected counts a request that was refused before its kind was known. It has
+// no latency, since nothing was decided on it.
+func (m *Metrics) Rejected(r *verdict.Refusal) {
+	m.requests.WithLabelValues(call.Background.String(), r.Verdict.String(), knownReason(r.Reason)).Inc()
+}
+
 // Decided counts a decision.
 func (m *Metrics) Decided(kind engine.DecisionKind) {
 	m.decisions.WithLabelValues(string(kind)).Inc()
@@ -89,14 +90,14 @@
 // Paused counts a late wake-up.
 func (m *Metrics) Paused() { m.pauses.Inc() }
 
-var reasons = map[verdict.Reason]bool{
-	verdict.QueueFull: true, verdict.DeadlineUnmet: true, verdict.DeadlinePassed: true, verdict.Pressure: true,
-	verdict.NoUpstream: true, verdict.Leaving: true, verdict.Starting: true, verdict.ConnectionLost: true,
-	verdict.NotWhole: true, verdict.UpstreamShed: true, verdict.UpstreamFailed: true, verdict.RetryBound: true,
-	verdict.Cancelled: true, verdict.Paused: true, verdict.KeyRequired: true, verdict.KeyFenced: true,
-	verdict.KeyUnknown: true, verdict.KeyMismatch: true, verdict.KeyTableFull: true, verdict.OwnerGone: true,
-	verdict.UnknownCaller: true, verdict.UnknownKind: true, verdict.BadRequest: true, verdict.NotMember: true,
-	verdict.WrongService: true, verdict.DepthExceeded: true, verdict.StaleIncarnation: true,
+var reasons = reasonSet()
+
+func reasonSet() map[verdict.Reason]bool {
+	set := make(map[verdict.Reason]bool)
+	for _, r := range verdict.Reasons() {
+		set[r] = true
+	}
+	return set
 }
 
 // knownReason keeps the label set bounded when a peer of another version
