demo: report how a process ended

Cause: the error showed a nil exit error when a process ended with code 0. Change: print the process state. Conclusion: the message names exit code or signal.

--- a/cmd/internal/demo/process.go
+++ b/cmd/internal/demo/process.go
@@ -70,7 +70,7 @@
 func (p *process) failed() error {
 	select {
 	case <-p.done:
-		return fmt.Errorf("%s ended unexpectedly (%w); see %s", p.name, p.err, p.log.Name())
+		return fmt.Errorf("%s ended unexpectedly (%s); see %s", p.name, p.cmd.ProcessState, p.log.Name())
 	default:
 		return nil
 	}
