confsync, toucangwctl: do not count a seed as a second peer

Cause: a node that started with a seed showed "at 2 of 2 peers" with one other node, since the seed was counted beside its host. A node without host lists said that others read the platform for it while it read by itself. Change: seeds are left out of the peers in the status; the row "platform" says that the node reads by itself. Conclusion: what `show` says of peers is what it heard from hosts.

--- a/cmd/toucangwctl/show.go
+++ b/cmd/toucangwctl/show.go
@@ -134,7 +134,8 @@
 	}
 	t.row("host lists\t%s\t%s", revisionText(s.Config.HostRevision), plural(s.Config.Hosts, "host"))
 	role := "read by other nodes of the zone"
-	if s.Config.Reader {
+	if s.Config.Reader || s.Config.HostRevision == 0 {
+		// Without host lists a node knows no other that could read for it.
 		role = "read by this node"
 	}
 	last := "no answer yet"
--- a/node/confsync/service_test.go
+++ b/node/confsync/service_test.go
@@ -252,3 +252,14 @@
 		require.Equal(t, "a", p.Site, step.name)
 	}
 }
+
+// Guards against a seed that counts as a second peer beside its host.
+func TestSeedIsNoPeerOfItsOwn(t *testing.T) {
+	s := New(Config{Self: member.Host{ID: "a0"}, Seeds: []string{"127.0.0.1:1"}, Compiler: compileText})
+	reply := &spread.ExchangeReply{Sets: []spread.SetVersion{{Prefix: spread.ConfigPrefix, InForce: 7}}}
+	s.step(spread.ExchangeReplied{From: seedPrefix + "127.0.0.1:1", Reply: reply})
+	s.step(spread.ExchangeReplied{From: "a1", Reply: reply})
+	peers := s.Status().Peers
+	require.Len(t, peers, 1)
+	require.EqualValues(t, "a1", peers[0].Host)
+}
--- a/node/confsync/status.go
+++ b/node/confsync/status.go
@@ -59,7 +59,8 @@
 		out.PlatformErr = s.lastRead.err.Error()
 	}
 	for id, r := range st.Reports {
-		if now.Sub(r.At) > reportAge {
+		// A seed is reported again under its host id once that is known.
+		if now.Sub(r.At) > reportAge || strings.HasPrefix(string(id), seedPrefix) {
 			continue
 		}
 		out.Peers = append(out.Peers, PeerRow{Host: id, InForce: r.InForce, At: r.At})
