--- a/node/docs_test.go
+++ b/node/docs_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"go/ast"
 	"go/parser"
 	gotoken "go/token"
@@ -222,3 +223,33 @@
 		}
 	}
 }
+
+// Guards against a field of the decision log without description, and against
+// a description without field.
+func TestDecisionFieldsAreOnThePage(t *testing.T) {
+	file, err := parser.ParseFile(gotoken.NewFileSet(), "telemetry/observer.go", nil, 0)
+	require.NoError(t, err)
+	fields := []string{"time", "level", "msg"}
+	ast.Inspect(file, func(n ast.Node) bool {
+		made, ok := n.(*ast.CallExpr)
+		if !ok || len(made.Args) != 2 {
+			return true
+		}
+		name, ok := made.Fun.(*ast.SelectorExpr)
+		if !ok || fmt.Sprint(name.X) != "slog" {
+			return true
+		}
+		field, err := strconv.Unquote(made.Args[0].(*ast.BasicLit).Value)
+		require.NoError(t, err)
+		fields = append(fields, field)
+		return true
+	})
+	text := page(t, "operate-decision-log.md")
+	start := strings.Index(text, "## Fields")
+	end := strings.Index(text, "## Decisions and rules")
+	var listed []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|").FindAllStringSubmatch(text[start:end], -1) {
+		listed = append(listed, row[1])
+	}
+	require.ElementsMatch(t, fields, listed)
+}
