core/engine: read the router's rules from its source in the page test

Cause: the test named the four rules of the router itself, so a new one would not have been noticed. Change: it reads the exported text constants of the router. Conclusion: the page of the decision log cannot fall behind unnoticed.

--- a/core/engine/docs_test.go
+++ b/core/engine/docs_test.go
@@ -48,11 +48,33 @@
 	return rules
 }
 
+// routerRules returns the exported text constants of the router.
+func routerRules(t *testing.T) []string {
+	t.Helper()
+	file, err := parser.ParseFile(gotoken.NewFileSet(), "../route/router.go", nil, 0)
+	require.NoError(t, err)
+	var rules []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 || !spec.Names[0].IsExported() {
+			return true
+		}
+		if value, ok := spec.Values[0].(*ast.BasicLit); ok && value.Kind == gotoken.STRING {
+			text, err := strconv.Unquote(value.Value)
+			require.NoError(t, err)
+			rules = append(rules, text)
+		}
+		return true
+	})
+	require.Contains(t, rules, route.TwoChoices)
+	return rules
+}
+
 // Guards against a decision or rule that operators cannot look up, and against
 // one on the page that does not exist.
 func TestRulesAreOnThePage(t *testing.T) {
 	want := recordedRules(t)
-	for _, rule := range []string{route.TwoChoices, route.Spill, route.OnlyHost, route.OutsideSubset} {
+	for _, rule := range routerRules(t) {
 		want[rule] = true
 	}
 	page, err := os.ReadFile("../../docs/operate-decision-log.md")
