--- a/core/baseline/route.go
+++ b/core/baseline/route.go
@@ -47,5 +47,4 @@
 func (*roundRobin) SetPolicy(time.Time, *policy.Policy)          {}
 func (*roundRobin) Sent(time.Time, member.HostID)                {}
 func (*roundRobin) Done(time.Time, member.HostID, route.Outcome) {}
-func (*roundRobin) Probe(time.Time, member.HostID, bool)         {}
 func (*roundRobin) Forget(time.Time)                             {}
--- a/core/engine/attempt.go
+++ b/core/engine/attempt.go
@@ -301,7 +301,7 @@
 	switch reason {
 	case verdict.ConnectionLost, verdict.OwnerGone, verdict.UpstreamFailed, verdict.UpstreamShed,
 		verdict.QueueFull, verdict.DeadlineUnmet, verdict.Paused, verdict.Leaving, verdict.Starting,
-		verdict.StaleIncarnation, verdict.NotMember, verdict.WrongService, verdict.NotWhole, verdict.NoUpstream:
+		verdict.NotMember, verdict.WrongService, verdict.NotWhole, verdict.NoUpstream:
 		return true
 	default:
 		return false
--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -70,6 +70,7 @@
 		req: call.Request{
 			ID:        ev.ID,
 			RequestID: ev.RequestID,
+			Caller:    ev.Caller,
 			Service:   ev.Service,
 			Key:       ev.Key,
 			Digest:    ev.Digest,
@@ -107,11 +108,10 @@
 	if e.policy.Callers[ev.Caller] == nil {
 		return verdict.Refuse(verdict.UnknownCaller, fmt.Sprintf("caller %q is not configured", ev.Caller))
 	}
+	rec.req.Kind = kind.Name
 	if e.leaving {
 		return verdict.Refuse(verdict.Leaving, "this host takes no new work")
 	}
-	rec.req.Caller = ev.Caller
-	rec.req.Kind = kind.Name
 	rec.req.Rank = call.NewRank(kind.Importance, kind.Worth, kind.TreeCost, ev.RequestID)
 	rec.req.Deadline = now.Add(shorter(kind.Deadline, ev.Timeout))
 	rec.req.Cost = kind.Cost
@@ -130,6 +130,7 @@
 // known parent it has the lowest importance and no retry credit.
 func (e *Engine) describeEgress(now time.Time, rec *entryCall, ev CallArrived, kind *policy.Kind) *verdict.Refusal {
 	rec.req.Key = ""
+	rec.req.Caller = ""
 	rec.req.Idempotent = idempotent(kind, ev.Method)
 	if kind != nil {
 		rec.req.Cost = kind.Cost
--- a/core/engine/entry_test.go
+++ b/core/engine/entry_test.go
@@ -151,6 +151,37 @@
 	assert.Equal(t, "k", answer.Key)
 }
 
+// Guards against "not run" on the word of an upstream that only sent
+// Retry-After, and against advice of the upstream that gets lost.
+func TestShedRunIsNotRunOnlyIfProven(t *testing.T) {
+	for _, unproven := range []bool{false, true} {
+		e := newNode(t)
+		e.Step(start, engine.PeerCallArrived{ID: 1, Call: engine.PeerCall{
+			RequestID: "r", Caller: "polder", Service: "ledger", Remaining: time.Second, Idempotent: true,
+		}})
+		reply := only[engine.AnswerPeer](t, e.Step(start, engine.UpstreamReplied{
+			ID: 1, Shed: true, Unproven: unproven, RetryAfter: 3 * time.Second,
+		})).Reply
+		assert.Equal(t, unproven, reply.Refusal.Verdict == verdict.MayHaveRun)
+		assert.Equal(t, verdict.UpstreamShed, reply.Refusal.Reason)
+		assert.Equal(t, 3*time.Second, reply.Refusal.RetryAfter)
+	}
+}
+
+// Guards against refusals from which the customer cannot be told, and against
+// a key owner that is blamed before there is a key.
+func TestRefusalsNameCallerAndCause(t *testing.T) {
+	e := newNode(t)
+	record := only[engine.Record](t, e.Step(start, engine.CallArrived{ID: 1, Service: "none", Caller: "polder"}))
+	assert.Equal(t, "polder", record.Caller)
+	e.Step(start, callFrom(2, "POST", "/sign"))
+	gone := &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.OwnerGone}
+	e.Step(start, engine.KeyIssued{ID: 2, Refusal: gone})
+	answer := only[engine.AnswerCaller](t, e.Step(start, engine.KeyIssued{ID: 2, Refusal: gone}))
+	assert.Equal(t, verdict.NoUpstream, answer.Refusal.Reason)
+	assert.Equal(t, verdict.NotRun, answer.Refusal.Verdict)
+}
+
 // Guards against work for a host that said it is leaving, although a late list
 // still shows it as live.
 func TestLateListDoesNotBringBackLeavingHost(t *testing.T) {
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -60,10 +60,15 @@
 // UpstreamReplied reports the end of a run with a whole answer, or with a
 // refusal by the upstream itself when Shed is set.
 type UpstreamReplied struct {
-	ID       call.ID
-	Answer   *call.Answer
-	Shed     bool // the upstream said that it did not run the request
+	ID     call.ID
+	Answer *call.Answer
+	Shed   bool // the upstream refused for load
+	// Unproven is set with Shed if the upstream did not say that it left the
+	// request alone.
+	Unproven bool
 	Draining bool // the upstream said that it is going away
+	// RetryAfter is the upstream's own advice with a refusal; zero for none.
+	RetryAfter time.Duration
 }
 
 // UpstreamFailed reports a run without a whole answer.
--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -87,10 +87,6 @@
 		e.answerRefused(now, g, refusal)
 		return
 	}
-	if stale := ev.Call.Incarnation != 0 && ev.Call.Incarnation != e.cfg.Incarnation; stale {
-		e.answerRefused(now, g, verdict.Refuse(verdict.StaleIncarnation, "the call was meant for an earlier process"))
-		return
-	}
 	e.offer(now, g)
 }
 
@@ -224,7 +220,12 @@
 
 func (e *Engine) finishRun(now time.Time, g *guardCall, ev UpstreamReplied) {
 	if ev.Shed {
-		e.rejectRun(now, g, verdict.Refuse(verdict.UpstreamShed, "the upstream refused for load"))
+		refusal := verdict.Refuse(verdict.UpstreamShed, "the upstream refused for load")
+		refusal.RetryAfter = ev.RetryAfter
+		if ev.Unproven {
+			refusal.Verdict = verdict.MayHaveRun
+		}
+		e.failRun(now, g, refusal)
 		return
 	}
 	if g.req.Key != "" {
--- a/core/engine/keys.go
+++ b/core/engine/keys.go
@@ -143,6 +143,10 @@
 	}
 	final := *refusal
 	final.Verdict = verdict.NotRun
+	if final.Reason == verdict.OwnerGone {
+		// There is no key yet, so no owner either.
+		final.Reason = verdict.NoUpstream
+	}
 	e.refuseEntry(now, rec, &final)
 }
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -89,7 +89,7 @@
 	case verdict.QueueFull, verdict.DeadlineUnmet, verdict.Pressure, verdict.UpstreamShed:
 		return f.RoomElsewhere
 	case verdict.ConnectionLost, verdict.OwnerGone, verdict.UpstreamFailed, verdict.NotWhole,
-		verdict.Leaving, verdict.Starting, verdict.Paused, verdict.StaleIncarnation,
+		verdict.Leaving, verdict.Starting, verdict.Paused,
 		verdict.NotMember, verdict.WrongService:
 		return true
 	default:
--- a/core/route/host.go
+++ b/core/route/host.go
@@ -16,8 +16,6 @@
 	latencyHalfLife = 5 * time.Second
 	// failureHalfLife ages the failure rate of an unused host.
 	failureHalfLife = 2 * time.Second
-	// probeLifetime is the age at which a health answer is ignored.
-	probeLifetime = 30 * time.Second
 
 	latencyGain = 0.2  // weight of a new latency sample
 	failureGain = 0.25 // weight of a new outcome; three failures in a row eject
@@ -34,9 +32,8 @@
 	ejectMin = 500 * time.Millisecond
 	ejectMax = 2 * time.Second
 
-	rampStart       = 0.1 // weight of a host that has just started
-	unhealthyWeight = 0.5
-	leastTrust      = 0.05 // weight floor of a host that always fails
+	rampStart  = 0.1  // weight of a host that has just started
+	leastTrust = 0.05 // weight floor of a host that always fails
 
 	// unknownLatency stands in until the service has answered once.
 	unknownLatency = time.Millisecond
@@ -71,9 +68,6 @@
 	failuresAt time.Time
 	badUntil   time.Time
 	ejections  int // in a row
-
-	unhealthyAt  time.Time // last unhealthy probe; zero if the last was healthy
-	contradicted bool      // own traffic succeeded since the first unhealthy probe
 }
 
 // restart forgets everything but the attempts in flight.
@@ -110,13 +104,6 @@
 	return rampStart + (1-rampStart)*max(0, float64(age)/float64(coldStart))
 }
 
-func (h *host) health(now time.Time) float64 {
-	if h.unhealthyAt.IsZero() || h.contradicted || now.Sub(h.unhealthyAt) > probeLifetime {
-		return 1
-	}
-	return unhealthyWeight
-}
-
 func (h *host) failureRate(now time.Time) float64 {
 	return aged(h.failures, now.Sub(h.failuresAt), failureHalfLife)
 }
@@ -139,7 +126,7 @@
 
 // score is lower for a better host.
 func (h *host) score(now time.Time, p *pool) float64 {
-	weight := h.ramp(now, p.coldStart) * h.health(now) * h.trust(now)
+	weight := h.ramp(now, p.coldStart) * h.trust(now)
 	return (float64(h.inFlight) + h.load(now) + 1) * h.expected(now, p.latency) / weight
 }
 
@@ -164,7 +151,6 @@
 	rate := h.failureRate(now)
 	h.failures = rate + failureGain*(sample-rate)
 	h.failuresAt = now
-	h.contradicted = !failed
 	switch {
 	case failed && h.failures >= ejectRate && !h.bad(now):
 		h.eject(now, random)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -49,8 +49,6 @@
 	Sent(now time.Time, host member.HostID)
 	// Done reports the end of an attempt.
 	Done(now time.Time, host member.HostID, out Outcome)
-	// Probe reports the answer of a health endpoint, which may lag or mislead.
-	Probe(now time.Time, host member.HostID, healthy bool)
 	// Forget drops everything learned from reports that age, as after a pause.
 	Forget(now time.Time)
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -372,19 +372,6 @@
 	p.latency += latencyGain * (float64(latency) - p.latency)
 }
 
-// Probe implements Router.
-func (r *router) Probe(now time.Time, id member.HostID, healthy bool) {
-	h, ok := r.hosts[id]
-	switch {
-	case !ok:
-	case healthy:
-		h.unhealthyAt = time.Time{}
-	default:
-		h.contradicted = h.contradicted && !h.unhealthyAt.IsZero()
-		h.unhealthyAt = now
-	}
-}
-
 // Forget implements Router.
 func (r *router) Forget(time.Time) {
 	for _, h := range r.hosts {
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -50,33 +50,32 @@
 
 // Reasons for refusals.
 const (
-	QueueFull        Reason = "queue-full"       // displaced by or behind more important work
-	DeadlineUnmet    Reason = "deadline-unmet"   // could not finish in time, dropped before it ran
-	DeadlinePassed   Reason = "deadline-passed"  // deadline passed after it was sent
-	Pressure         Reason = "pressure"         // refused early on levels heard from upstreams
-	NoUpstream       Reason = "no-upstream"      // no usable host for the service
-	Leaving          Reason = "leaving"          // this host takes no new work
-	Starting         Reason = "starting"         // no configuration in force yet
-	ConnectionLost   Reason = "connection-lost"  // no answer and no proof either way
-	NotWhole         Reason = "answer-not-whole" // the upstream's answer was cut
-	UpstreamShed     Reason = "upstream-shed"    // the upstream itself refused for load
-	UpstreamFailed   Reason = "upstream-failed"  // the upstream could not be reached
-	RetryBound       Reason = "retry-bound"      // the retry credit of the request is spent
-	Cancelled        Reason = "cancelled"        // the caller went away
-	Paused           Reason = "paused"           // dropped after this process woke up late
-	KeyRequired      Reason = "key-required"     // a once-only kind without a key
-	KeyFenced        Reason = "key-fenced"       // the key was refused before and never runs
-	KeyUnknown       Reason = "key-unknown"      // issued by an earlier incarnation, expired or not authentic
-	KeyMismatch      Reason = "key-mismatch"     // the key belongs to another request
-	KeyTableFull     Reason = "key-table-full"   // no memory for another key
-	OwnerGone        Reason = "owner-unreachable"
-	UnknownCaller    Reason = "unknown-caller"
-	UnknownKind      Reason = "unknown-kind"
-	BadRequest       Reason = "bad-request"
-	NotMember        Reason = "not-a-member" // the sending host is not on the list
-	WrongService     Reason = "wrong-service"
-	DepthExceeded    Reason = "depth-exceeded"
-	StaleIncarnation Reason = "stale-incarnation"
+	QueueFull      Reason = "queue-full"       // displaced by or behind more important work
+	DeadlineUnmet  Reason = "deadline-unmet"   // could not finish in time, dropped before it ran
+	DeadlinePassed Reason = "deadline-passed"  // deadline passed after it was sent
+	Pressure       Reason = "pressure"         // refused early on levels heard from upstreams
+	NoUpstream     Reason = "no-upstream"      // no usable host for the service
+	Leaving        Reason = "leaving"          // this host takes no new work
+	Starting       Reason = "starting"         // no configuration in force yet
+	ConnectionLost Reason = "connection-lost"  // no answer and no proof either way
+	NotWhole       Reason = "answer-not-whole" // the upstream's answer was cut
+	UpstreamShed   Reason = "upstream-shed"    // the upstream itself refused for load
+	UpstreamFailed Reason = "upstream-failed"  // the upstream could not be reached
+	RetryBound     Reason = "retry-bound"      // the retry credit of the request is spent
+	Cancelled      Reason = "cancelled"        // the caller went away
+	Paused         Reason = "paused"           // dropped after this process woke up late
+	KeyRequired    Reason = "key-required"     // a once-only kind without a key
+	KeyFenced      Reason = "key-fenced"       // the key was refused before and never runs
+	KeyUnknown     Reason = "key-unknown"      // issued by an earlier incarnation, expired or not authentic
+	KeyMismatch    Reason = "key-mismatch"     // the key belongs to another request
+	KeyTableFull   Reason = "key-table-full"   // no memory for another key
+	OwnerGone      Reason = "owner-unreachable"
+	UnknownCaller  Reason = "unknown-caller"
+	UnknownKind    Reason = "unknown-kind"
+	BadRequest     Reason = "bad-request"
+	NotMember      Reason = "not-a-member" // the sending host is not on the list
+	WrongService   Reason = "wrong-service"
+	DepthExceeded  Reason = "depth-exceeded"
 )
 
 // Reasons returns all reasons of this version.
@@ -85,7 +84,6 @@
 		QueueFull, DeadlineUnmet, DeadlinePassed, Pressure, NoUpstream, Leaving, Starting, ConnectionLost, NotWhole,
 		UpstreamShed, UpstreamFailed, RetryBound, Cancelled, Paused, KeyRequired, KeyFenced, KeyUnknown, KeyMismatch,
 		KeyTableFull, OwnerGone, UnknownCaller, UnknownKind, BadRequest, NotMember, WrongService, DepthExceeded,
-		StaleIncarnation,
 	}
 }
 
--- a/node/confsync/service.go
+++ b/node/confsync/service.go
@@ -277,7 +277,7 @@
 
 func (s *Service) adopt(set *spread.Set) {
 	if set.Prefix == spread.ConfigPrefix {
-		s.log.Info("configuration in force", "revision", set.Revision)
+		s.log.Info("configuration accepted", "revision", set.Revision)
 		s.due.policy = s.judge.adoptConfig(set)
 		s.callBackSoon()
 		return
--- a/node/upstream/client.go
+++ b/node/upstream/client.go
@@ -160,9 +160,9 @@
 		return c.sendFailed(ctx, &s, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if shed(resp, r.Idempotent) {
+	if refused, ok := shed(resp, r.Idempotent); ok {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, c.maxBody.Load()))
-		return engine.UpstreamReplied{Shed: true, Draining: draining(resp)}
+		return refused
 	}
 	body, err := c.readWhole(resp, r.Method)
 	if err != nil {
@@ -230,16 +230,23 @@
 	return failed
 }
 
-// shed reports whether the upstream said that it did not run the request. For
-// a request that must not run twice, Retry-After alone proves nothing.
-func shed(resp *http.Response, idempotent bool) bool {
+// shed recognises a refusal for load. Only HeaderNotRun proves that the request
+// was left alone. A bare Retry-After counts for requests that may be repeated;
+// for a once-only request the status is an answer like any other.
+func shed(resp *http.Response, idempotent bool) (engine.UpstreamReplied, bool) {
 	if resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
-		return false
+		return engine.UpstreamReplied{}, false
 	}
-	if resp.Header.Get(HeaderNotRun) == "1" {
-		return true
+	after := resp.Header.Get("Retry-After")
+	proven := resp.Header.Get(HeaderNotRun) == "1"
+	if !proven && (!idempotent || after == "") {
+		return engine.UpstreamReplied{}, false
+	}
+	refused := engine.UpstreamReplied{Shed: true, Unproven: !proven, Draining: draining(resp)}
+	if seconds, err := strconv.ParseUint(after, 10, 16); err == nil {
+		refused.RetryAfter = time.Duration(seconds) * time.Second
 	}
-	return idempotent && resp.Header.Get("Retry-After") != ""
+	return refused, true
 }
 
 func draining(resp *http.Response) bool { return resp.Header.Get(HeaderDraining) == "1" }
--- a/settings/node.go
+++ b/settings/node.go
@@ -46,8 +46,7 @@
 
 // NodePlatform describes the configuration service.
 type NodePlatform struct {
-	Addresses    []netip.AddrPort
-	PollInterval time.Duration
+	Addresses []netip.AddrPort
 }
 
 // NodeLog holds the settings of the log.
@@ -90,8 +89,6 @@
 	}},
 	{Name: "platform", Help: "The configuration service.", Keys: []Key{
 		{Name: "addresses", Type: TypeAddrs, DefaultNote: "none: seeds are required", Help: "addresses of the configuration service"},
-		{Name: "poll_interval", Type: TypeDuration, Default: 2 * time.Second, Min: float64(100 * time.Millisecond), Max: float64(time.Minute),
-			Help: "time between reads where a watch is not possible"},
 	}},
 	{Name: "seeds", Help: "Peers that are asked before a host list is known.", Keys: []Key{
 		{Name: "addresses", Type: TypeAddrs, DefaultNote: "none", Help: "peer listeners of other nodes"},
@@ -194,8 +191,7 @@
 			HealthPath: must[string](upstream, "health_path"),
 		},
 		Platform: NodePlatform{
-			Addresses:    must[[]netip.AddrPort](platform, "addresses"),
-			PollInterval: must[time.Duration](platform, "poll_interval"),
+			Addresses: must[[]netip.AddrPort](platform, "addresses"),
 		},
 		Seeds: must[[]netip.AddrPort](doc.single("seeds"), "addresses"),
 		Limits: NodeLimits{
