engine: count an upstream that cannot be reached as a failure of its host

Cause: the router was told that a refusal is no fault of the host, also when the guard refused because its upstream is down. Keys went on to be issued by that host, and sign-offs bound to it failed again and again. Change: refusals with the reasons upstream-failed and answer-not-whole are reported to the router as failures. A test with one of two release upstreams down. Left open: a key is issued by the failed host again with the refusal, so that the first sign-off fails.

--- a/core/engine/attempt.go
+++ b/core/engine/attempt.go
@@ -149,12 +149,23 @@
 func (e *Engine) settleReply(now time.Time, rec *entryCall, reply Reply) {
 	rec.pool.Return(rec.lent, reply.Unspent)
 	report := reply.Load
-	e.endAttempt(now, rec, route.Outcome{Refused: reply.Refusal != nil, Report: &report})
+	e.endAttempt(now, rec, outcomeOf(reply, &report))
 	if reply.Answer != nil && reply.Answer.Status < http.StatusInternalServerError {
 		e.budget.Success(now, rec.req.Service)
 	}
 }
 
+// outcomeOf tells a refusal for load, which is no fault of the host, from an
+// upstream that cannot be reached or does not answer completely.
+func outcomeOf(reply Reply, report *route.Report) route.Outcome {
+	out := route.Outcome{Refused: reply.Refusal != nil, Report: report}
+	if reply.Refusal != nil && (reply.Refusal.Reason == verdict.UpstreamFailed || reply.Refusal.Reason == verdict.NotWhole) {
+		out.Refused = false
+		out.Failed = true
+	}
+	return out
+}
+
 // attemptRefused handles a refusal by the chosen host.
 func (e *Engine) attemptRefused(now time.Time, rec *entryCall, reply Reply) {
 	refusal := reply.Refusal
--- /dev/null
+++ b/node/upstream_down_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards once-only work against an upstream that is down behind a node that
+// works: a caller that follows the key flow is answered by another host.
+func TestUpstreamDownOnceOnly(t *testing.T) {
+	c := newCluster(t, "release", "release", "ledger", "quality")
+	c.nodes[0].server.CloseClientConnections()
+	require.NoError(t, c.nodes[0].server.Listener.Close())
+	entry := c.nodes[2]
+	answered := 0
+	const requests = 30
+	for i := range requests {
+		url := entry.url(fmt.Sprintf("/release/sign-offs/lot-%d", i))
+		header := map[string]string{}
+		for range 4 { // a 428 and three tries
+			r := send(t, http.MethodPost, url, header, "{}")
+			if r.status == http.StatusOK {
+				answered++
+				break
+			}
+			require.Equal(t, "not-run", r.header.Get("Toucangw-Verdict"), "%s", r.body)
+			if key := r.header.Get("Idempotency-Key"); key != "" {
+				header["Idempotency-Key"] = key
+			}
+		}
+	}
+	t.Logf("%d of %d answered", answered, requests)
+	require.GreaterOrEqual(t, answered, requests*9/10)
+}
