--- a/cmd/internal/demo/process.go
+++ b/cmd/internal/demo/process.go
@@ -70,7 +70,7 @@
 func (p *process) failed() error {
 	select {
 	case <-p.done:
-		return fmt.Errorf("%s ended unexpectedly (%v); see %s", p.name, p.err, p.log.Name())
+		return errors.Join(fmt.Errorf("%s ended unexpectedly; see %s", p.name, p.log.Name()), p.err)
 	default:
 		return nil
 	}
