--- a/core/spread/exchange.go
+++ b/core/spread/exchange.go
@@ -24,24 +24,26 @@
 	if len(s.nodes) == 0 {
 		return s.exchangeWithSeed(now)
 	}
-	var out []Action
-	s.rotation++
 	id, ok := s.partners.one()
-	if ok && !s.exchangesWithReader() {
-		out = append(out, SendExchange{To: id, Request: s.request(now)})
-	}
-	if reader, ok := s.readerToAsk(); ok {
-		out = append(out, SendExchange{To: reader, Request: s.request(now)})
+	if !ok {
+		return nil
 	}
-	return out
+	return []Action{SendExchange{To: id, Request: s.request(now)}}
 }
 
-// exchangesWithReader reports whether this period has no exchange with a
-// partner: readers and deputies leave out every second one, since deputies ask
-// a reader in each period. Without this the readers need half as many bytes
-// again as other nodes.
-func (s *State) exchangesWithReader() bool {
-	return s.rank < ReadersPerZone+deputies && s.rotation%2 == 1 && len(s.partners.local.all) > localPartners
+// exchangePeriod is twice as long for readers and deputies, which also exchange
+// with each other. Without this, readers need half as many bytes again as other
+// nodes.
+func (s *State) exchangePeriod() time.Duration {
+	switch {
+	case len(s.nodes) == 0:
+		return seedPeriod
+	case s.config.force.Revision == 0:
+		return startPeriod
+	case s.rank < ReadersPerZone+deputies && len(s.partners.local.all) > localPartners:
+		return 2 * ExchangePeriod
+	}
+	return ExchangePeriod
 }
 
 func (s *State) exchangeWithSeed(now time.Time) []Action {
@@ -52,11 +54,15 @@
 	return []Action{SendExchange{To: id, Request: s.request(now)}}
 }
 
-// readerToAsk returns the reader that a deputy asks for a sign, in rotation.
-func (s *State) readerToAsk() (member.HostID, bool) {
-	if s.rank < ReadersPerZone || s.rank >= ReadersPerZone+deputies || len(s.readers) == 0 {
+// readerToAsk returns the reader that a deputy asks now for a sign, in
+// rotation.
+func (s *State) readerToAsk(now time.Time) (member.HostID, bool) {
+	deputy := s.rank >= ReadersPerZone && s.rank < ReadersPerZone+deputies
+	if !deputy || len(s.readers) == 0 || now.Before(s.nextSign) {
 		return "", false
 	}
+	s.nextSign = now.Add(signPeriod)
+	s.rotation++
 	return s.readers[s.rotation%len(s.readers)], true
 }
 
@@ -92,6 +98,9 @@
 		if u := l.offer(v); u != nil {
 			reply.Updates = append(reply.Updates, *u)
 		}
+		if told := l.shown(); told.revision > max(v.Rejected, v.InForce) {
+			explain(reply.Sets, v.Prefix, told.reason)
+		}
 	}
 	if req.Facts != s.facts.digest {
 		reply.Facts = s.facts.newest(now, factsPerMessage)
@@ -99,11 +108,25 @@
 	return reply, nil
 }
 
+// explain adds the reason of a rejection.
+func explain(sets []SetVersion, prefix, reason string) {
+	for i := range sets {
+		if sets[i].Prefix == prefix {
+			sets[i].Reason = reason
+		}
+	}
+}
+
 func (s *State) exchangeReplied(now time.Time, e ExchangeReplied) []Action {
 	s.takeSign(now, e.Reply.Sign)
 	out := s.learn(now, e.Reply.Facts)
 	out = append(out, s.takeUpdates(e.Reply.Updates)...)
 	s.peerAnswered(now, e.From, e.Reply.Sets)
+	for _, v := range e.Reply.Sets {
+		if l := s.lane(v.Prefix); l != nil {
+			l.tell(rejection{v.Rejected, v.Reason})
+		}
+	}
 	out = append(out, s.askDetailed(now, e)...)
 	push := s.behind(e.Reply.Sets)
 	var facts []Fact
