--- a/core/admit/guard.go
+++ b/core/admit/guard.go
@@ -16,24 +16,53 @@
 	// spend in one queue.
 	queueShare = 0.25
 	// deepQueueShare applies to sub-calls, which hold slots of their parents
-	// while they wait.
-	deepQueueShare = 0.1
+	// while they wait, and urgentDeepShare to critical ones.
+	deepQueueShare  = 0.03
+	urgentDeepShare = 0.1
 	// minRetryAfter is the shortest advice: the demand estimate needs about
 	// this time to follow a change.
 	minRetryAfter = 100 * time.Millisecond
+	// deepWeight is the weight of one arrival in the share of sub-calls.
+	deepWeight = 1.0 / 256
 	// defaultCost is assumed for a call of unknown cost.
 	defaultCost = 5 * time.Millisecond
 )
 
+// Limiter learns how many calls may run at once; *limit.Limit implements it.
+type Limiter interface {
+	Current(now time.Time) int
+	Running(now time.Time, running int)
+	Answered(now time.Time, took, reference time.Duration)
+	Shed(now time.Time, running int)
+	Forget(now time.Time)
+	SetSlots(slots int, coldStart time.Duration)
+}
+
+// Mechanisms are the parts of admission that can be left out, so that the
+// effect of each can be measured.
+type Mechanisms struct {
+	// DeadlineDrop refuses calls that cannot finish or wait too long.
+	DeadlineDrop bool
+	// Displacement drops the lowest waiting call for a higher arrival; without
+	// it, an arrival at a full queue is refused.
+	Displacement bool
+	// Levels derives admission levels from the demand.
+	Levels bool
+	// Limit makes the limit; nil keeps to the configured slots.
+	Limit func(slots int, coldStart time.Duration) Limiter
+}
+
 // guard implements Admitter.
 type guard struct {
 	service *policy.Service
-	limit   *limit.Limit
+	with    Mechanisms
+	limit   Limiter
 	queue   queue
 	byName  map[string]*account
 	other   *account // all callers that are not configured
 	running map[call.ID]run
-	urgent  int // running calls of critical importance
+	deep    float64 // share of sub-calls among the arrivals
+	urgent  int     // running calls of critical importance
 	times   map[string]*serviceTime
 	updated time.Time
 }
@@ -50,9 +79,25 @@
 // New returns an Admitter that orders its queue by importance, customer share
 // and rank, and learns the limit of its upstream.
 func New(service *policy.Service, callers map[string]*policy.Caller) Admitter {
+	learned := func(slots int, coldStart time.Duration) Limiter { return limit.New(slots, coldStart) }
+	return With(Mechanisms{DeadlineDrop: true, Displacement: true, Levels: true, Limit: learned})(service, callers)
+}
+
+// With returns a Builder of admitters with some of the mechanisms.
+func With(m Mechanisms) Builder {
+	return func(service *policy.Service, callers map[string]*policy.Caller) Admitter {
+		return newGuard(m, service, callers)
+	}
+}
+
+func newGuard(m Mechanisms, service *policy.Service, callers map[string]*policy.Caller) *guard {
+	if m.Limit == nil {
+		m.Limit = func(slots int, coldStart time.Duration) Limiter { return limit.Fixed(slots, coldStart) }
+	}
 	g := &guard{
 		service: service,
-		limit:   limit.New(service.Slots, service.ColdStart),
+		with:    m,
+		limit:   m.Limit(service.Slots, service.ColdStart),
 		running: map[call.ID]run{},
 		times:   map[string]*serviceTime{},
 	}
@@ -68,6 +113,7 @@
 	owner := g.account(req.Caller)
 	cost := g.expected(now, req)
 	owner.rates.add(req.Rank, cost)
+	g.countDeep(req.Depth > 0)
 	e := &entry{req: req, owner: owner, cost: cost}
 	limit := g.limit.Current(now)
 	if g.queue.total == 0 && g.hasSlot(req.Rank.Importance(), limit) && !now.Add(cost).After(req.Deadline) {
@@ -81,32 +127,6 @@
 	return g.dispatch(now, out)
 }
 
-// place decides whether an arrival is worth queueing and sets the time until
-// which it is.
-func (g *guard) place(now time.Time, e *entry, limit int) (verdict.Reason, bool) {
-	left := e.req.Deadline.Sub(now)
-	wait := perSlot(g.queue.ahead(e), limit)
-	if wait+e.cost > left {
-		return verdict.DeadlineUnmet, false
-	}
-	share := queueShare
-	if e.req.Depth > 0 {
-		share = deepQueueShare
-	}
-	longest := min(g.maxWait(), time.Duration(share*float64(left)))
-	if wait > longest {
-		return verdict.QueueFull, false
-	}
-	// The level holds for calls that would wait. One whose turn comes at once,
-	// by importance or by the share of its caller, is admitted below it.
-	critical := e.req.Rank.Importance() == call.Critical
-	if !critical && e.req.Rank < e.owner.rates.level && wait > g.target(limit)/2 {
-		return verdict.QueueFull, false
-	}
-	e.latest = now.Add(min(longest, left-e.cost))
-	return "", true
-}
-
 // Done implements Admitter.
 func (g *guard) Done(now time.Time, id call.ID, out Outcome) []Decision {
 	r, ok := g.running[id]
@@ -130,8 +150,9 @@
 	case out.Shed:
 		g.limit.Shed(now, len(g.running))
 	default:
-		g.timeOf(r.kind, r.nominal).observe(now, out.Latency)
-		g.limit.Answered(now, r.nominal)
+		t := g.timeOf(r.kind, r.nominal)
+		t.observe(now, out.Latency, out.Latency-out.Waited)
+		g.limit.Answered(now, out.Latency-out.Waited, t.reference())
 	}
 }
 
@@ -242,13 +263,16 @@
 	if g.updated.IsZero() {
 		g.updated = now
 	}
+	if !g.with.Levels {
+		return
+	}
 	dt := now.Sub(g.updated)
 	if dt < levelInterval {
 		return
 	}
 	g.updated = now
 	limit := g.limit.Current(now)
-	updateLevels(g.queue.accounts, float64(limit), perSlot(g.queue.total, limit), g.target(limit), dt)
+	updateLevels(g.queue.accounts, float64(limit), g.deep, perSlot(g.queue.total, limit), g.target(limit), dt)
 }
 
 // hasSlot reports whether a call of an importance may start now.
@@ -294,55 +318,4 @@
 	return Decision{ID: e.req.ID, Run: true}
 }
 
-// expire drops the waiting calls that are no longer worth starting.
-func (g *guard) expire(now time.Time) []Decision {
-	var out []Decision
-	for len(g.queue.expiry) > 0 {
-		e := g.queue.expiry[0]
-		if !e.latest.Before(now) {
-			return out
-		}
-		g.queue.remove(e)
-		reason := verdict.QueueFull
-		if now.Add(e.cost).After(e.req.Deadline) {
-			reason = verdict.DeadlineUnmet
-		}
-		out = append(out, g.refuse(now, e, reason))
-	}
-	return out
-}
-
-// displace drops the lowest waiting calls while the queue is longer than its
-// bound.
-func (g *guard) displace(now time.Time, limit int, out []Decision) []Decision {
-	for perSlot(g.queue.total, limit) > g.maxWait() {
-		e := g.queue.bottom()
-		g.queue.remove(e)
-		out = append(out, g.refuse(now, e, verdict.QueueFull))
-	}
-	return out
-}
-
-func (g *guard) refuse(now time.Time, e *entry, reason verdict.Reason) Decision {
-	wait := perSlot(g.queue.total, g.limit.Current(now))
-	return Decision{ID: e.req.ID, Reason: reason, RetryAfter: max(minRetryAfter, wait)}
-}
-
-// target returns the wait that the levels aim at.
-func (g *guard) target(limit int) time.Duration {
-	n := len(g.queue.byID)
-	if n == 0 {
-		return targetWait
-	}
-	mean := g.queue.total / time.Duration(n)
-	return max(targetWait, perSlot(targetCalls*mean, limit))
-}
-
-func (g *guard) maxWait() time.Duration {
-	if g.service.MaxQueueWait > 0 {
-		return g.service.MaxQueueWait
-	}
-	return policy.DefaultMaxQueueWait
-}
-
 func perSlot(cost time.Duration, limit int) time.Duration { return cost / time.Duration(max(limit, 1)) }
--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -57,6 +57,7 @@
 	open   bool
 	failed bool
 	key    string // of a once-only call, kept so that a repeat is recognised
+	shared bool   // more than one call has used the key
 }
 
 func (e *Engine) callArrived(now time.Time, ev CallArrived) {
@@ -99,7 +100,7 @@
 }
 
 func (e *Engine) describeCaller(now time.Time, rec *entryCall, ev CallArrived, kind *policy.Kind) *verdict.Refusal {
-	if kind == nil {
+	if kind == nil || kind.Internal {
 		return verdict.Refuse(verdict.UnknownKind,
 			fmt.Sprintf("no kind is configured for %s %s of service %q", ev.Method, ev.Path, ev.Service))
 	}
@@ -139,7 +140,9 @@
 		rec.req.Rank = call.NewRank(call.Background, 0, 0, ev.RequestID)
 		rec.req.Deadline = now.Add(shorter(orphanDeadline, ev.Timeout))
 		rec.class = pressure.Class{Service: ev.Service, Kind: rec.req.Kind}
-		rec.ownKey = true
+		// Without a parent a repeat cannot be recognised, so that a once-only
+		// call needs a key like a caller's request.
+		rec.req.Key = ev.Key
 		return e.refuseEarly(now, rec)
 	}
 	rec.parent = parent
@@ -154,11 +157,17 @@
 		rec.req.Deadline = now.Add(ev.Timeout)
 	}
 	rec.class = pressure.Class{Service: ev.Service, Kind: rec.req.Kind, Caller: rec.req.Caller}
-	parent.children[rec.id] = rec
+	parent.callsOut(now, rec)
 	if rec.req.Depth > e.policy.Limits.MaxDepth {
 		return verdict.Refuse(verdict.DepthExceeded,
 			fmt.Sprintf("call chain is deeper than %d", e.policy.Limits.MaxDepth))
 	}
+	if parent.req.Idempotent && kind != nil && kind.OnceOnly {
+		// A retry of the parent would run on another host and make this call
+		// again under another key.
+		return verdict.Refuse(verdict.BadRequest,
+			fmt.Sprintf("once-only kind %q cannot be called from kind %q, which is not once-only", kind.Name, parent.req.Kind))
+	}
 	return e.joinParent(rec, ev)
 }
 
@@ -180,6 +189,7 @@
 	rec.sub = sub
 	rec.req.Key = sub.key
 	if sub.key != "" {
+		sub.shared = true
 		rec.known = verdict.MayHaveRun
 	}
 	return nil
@@ -222,9 +232,11 @@
 }
 
 // honestVerdict limits a verdict to what is known. A caller's key may have
-// been submitted through another node, so only its owner can say "not run".
+// been submitted through another node and a shared key by another call, so only
+// its owner can say "not run".
 func (e *Engine) honestVerdict(rec *entryCall, claimed verdict.Verdict) verdict.Verdict {
-	if rec.req.Key != "" && !rec.ownKey && claimed == verdict.NotRun {
+	elsewhere := !rec.ownKey || rec.keyShared()
+	if rec.req.Key != "" && elsewhere && claimed == verdict.NotRun {
 		return verdict.MayHaveRun
 	}
 	return stronger(rec.known, claimed)
@@ -250,13 +262,16 @@
 	}
 	delete(e.entries, rec.id)
 	if rec.parent != nil {
-		delete(rec.parent.children, rec.id)
+		rec.parent.callEnded(now, rec)
 	}
 	if rec.sub != nil {
 		rec.sub.open = false
 		rec.sub.failed = answer.Answer == nil || answer.Answer.Status >= http.StatusInternalServerError
 	}
 	answer.ID = rec.id
+	if answer.Refusal != nil && answer.Refusal.Verdict == verdict.NotRun {
+		e.forgetSubKey(rec)
+	}
 	if answer.Refusal != nil {
 		e.recordRefusal(rec, answer.Refusal)
 	}
--- a/core/engine/keys.go
+++ b/core/engine/keys.go
@@ -69,6 +69,15 @@
 }
 
 func (e *Engine) requestKeyFrom(now time.Time, rec *entryCall, host member.Host) {
+	remaining := rec.req.Deadline.Sub(now)
+	if remaining <= replyMargin {
+		e.refuseEntry(now, rec, &verdict.Refusal{
+			Verdict: rec.known,
+			Reason:  verdict.DeadlineUnmet,
+			Detail:  "no time left to get a key",
+		})
+		return
+	}
 	rec.keyTries++
 	rec.host = host.ID
 	rec.tried = append(rec.tried, host.ID)
@@ -79,7 +88,7 @@
 			Host:    host,
 			Service: rec.req.Service,
 			Caller:  rec.req.Caller,
-			Timeout: shorter(keyTimeout, rec.req.Deadline.Sub(now)),
+			Timeout: min(keyTimeout, remaining),
 		},
 	)
 }
@@ -98,13 +107,28 @@
 		e.finishEntry(now, rec, AnswerCaller{Refusal: refusal, Key: ev.Key})
 		return
 	}
-	rec.req.Key = ev.Key
-	if rec.sub != nil {
-		rec.sub.key = ev.Key
-	}
+	e.takeKey(rec, ev.Key)
 	e.sendToOwner(now, rec, false)
 }
 
+// takeKey gives a call the key that was issued for it. If the same outgoing
+// call was made twice at once, both use the key that came first, since two keys
+// would run the action twice.
+func (e *Engine) takeKey(rec *entryCall, key string) {
+	rec.req.Key = key
+	if rec.sub == nil {
+		return
+	}
+	if rec.sub.key == "" {
+		rec.sub.key = key
+		rec.sub.shared = false
+		return
+	}
+	rec.sub.shared = true
+	rec.req.Key = rec.sub.key
+	rec.known = verdict.MayHaveRun
+}
+
 // keyDenied asks another host for a key, which costs no retry credit since
 // nothing ran.
 func (e *Engine) keyDenied(now time.Time, rec *entryCall, refusal *verdict.Refusal) {
@@ -122,11 +146,23 @@
 	e.refuseEntry(now, rec, &final)
 }
 
+// keyShared reports whether another outgoing call may have submitted the key.
+func (rec *entryCall) keyShared() bool {
+	return rec.sub != nil && rec.sub.shared && rec.sub.key == rec.req.Key
+}
+
 // dropKey forgets a key that is proven never to run.
 func (e *Engine) dropKey(rec *entryCall) {
+	e.forgetSubKey(rec)
 	rec.req.Key = ""
 	rec.known = verdict.NotRun
-	if rec.sub != nil {
+}
+
+// forgetSubKey lets a repeat of an outgoing call get another key after this one
+// was proven never to run. A key that a concurrent repeat has obtained since is
+// kept.
+func (e *Engine) forgetSubKey(rec *entryCall) {
+	if rec.sub != nil && rec.sub.key == rec.req.Key {
 		rec.sub.key = ""
 	}
 }
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -66,16 +66,18 @@
 	slots     int
 	coldStart time.Duration
 	started   time.Time
+	fixed     bool
 
 	limit float64
-	best  float64 // lowest slot time per expected slot time seen
+	best  float64 // lowest time per reference time seen
 
 	windowStart time.Time
 	lastChange  time.Time
 	busy        float64 // integral of running calls over the window, seconds
 	running     int
 	samples     int
-	work        float64 // expected slot time of the calls completed, seconds
+	spent       float64 // time of the calls completed, seconds
+	work        float64 // reference time of the calls completed, seconds
 
 	phase     phase
 	trialUp   bool
@@ -93,6 +95,14 @@
 	return &Limit{slots: slots, coldStart: coldStart, limit: float64(slots), backoff: 1}
 }
 
+// Fixed returns a limit that stays at the configured slots after the cold
+// start.
+func Fixed(slots int, coldStart time.Duration) *Limit {
+	l := New(slots, coldStart)
+	l.fixed = true
+	return l
+}
+
 // SetSlots changes the upper bound. A limit that was at the old bound moves to
 // the new one.
 func (l *Limit) SetSlots(slots int, coldStart time.Duration) {
@@ -128,10 +138,12 @@
 	l.running = running
 }
 
-// Answered reports a completed call and its expected slot time.
-func (l *Limit) Answered(now time.Time, expected time.Duration) {
+// Answered reports a completed call: the time spent in the upstream itself,
+// without its sub-calls, and the time that such a call takes at best.
+func (l *Limit) Answered(now time.Time, took, reference time.Duration) {
 	l.samples++
-	l.work += expected.Seconds()
+	l.spent += took.Seconds()
+	l.work += reference.Seconds()
 	elapsed := now.Sub(l.windowStart)
 	if elapsed < window || l.samples < minSamples {
 		return
@@ -141,13 +153,14 @@
 	l.windowStart = now
 	l.busy = 0
 	l.samples = 0
+	l.spent = 0
 	l.work = 0
 }
 
 // Shed reports that the upstream itself refused a call for load while running
 // calls ran: its capacity is below that.
 func (l *Limit) Shed(now time.Time, running int) {
-	if now.Before(l.shedUntil) {
+	if l.fixed || now.Before(l.shedUntil) {
 		return
 	}
 	l.limit = l.clamp(math.Min(l.limit, float64(running)) * shedStep)
@@ -163,6 +176,7 @@
 	l.lastChange = now
 	l.busy = 0
 	l.samples = 0
+	l.spent = 0
 	l.work = 0
 	if l.phase != steady {
 		l.limit = l.before
@@ -176,12 +190,12 @@
 }
 
 func (l *Limit) endWindow(seconds float64) {
-	if l.work <= 0 {
+	if l.fixed || l.work <= 0 {
 		return
 	}
 	mean := l.busy / seconds
 	rate := l.work / seconds
-	ratio := l.busy / l.work
+	ratio := l.spent / l.work
 	if l.best == 0 || ratio < l.best {
 		l.best = ratio
 	}
--- /dev/null
+++ b/node/telemetry/observer.go
@@ -0,0 +1,189 @@
+package telemetry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"toucangw.example/core/engine"
+	"toucangw.example/core/verdict"
+	"toucangw.example/node/driver"
+)
+
+// recentRefusals is how many refusals are kept for operators.
+const recentRefusals = 256
+
+// Refusal is a recent refusal as operators see it.
+type Refusal struct {
+	Time         time.Time `json:"time"`
+	RequestID    string    `json:"request_id"`
+	Service      string    `json:"service"`
+	Caller       string    `json:"caller"`
+	Verdict      string    `json:"verdict"`
+	Reason       string    `json:"reason"`
+	Detail       string    `json:"detail,omitempty"`
+	RetryAfterMs int64     `json:"retry_after_ms"`
+}
+
+// Bounds of the queue of decision records.
+const (
+	// maxPending records wait to be formatted; more are dropped and counted.
+	maxPending     = 1 << 16
+	formatInterval = 20 * time.Millisecond
+)
+
+// Observer turns decisions into log lines, metrics and the list of recent
+// refusals. Lines are formatted on a goroutine of their own, so that the log
+// delays no call. It is safe for concurrent use.
+type Observer struct {
+	Metrics *Metrics
+	log     slog.Handler
+
+	mu      sync.Mutex
+	recent  []Refusal // ring
+	next    int
+	pending []stamped
+	dropped int64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// stamped is a record with the time of the decision.
+type stamped struct {
+	at     time.Time
+	record engine.Record
+}
+
+// NewObserver returns an observer that logs decisions to log and must be
+// closed.
+func NewObserver(log *slog.Logger, m *Metrics) *Observer {
+	o := &Observer{Metrics: m, log: log.Handler(), stop: make(chan struct{}), done: make(chan struct{})}
+	go o.format()
+	return o
+}
+
+// Close writes what is pending. It may be called once.
+func (o *Observer) Close() {
+	close(o.stop)
+	<-o.done
+}
+
+// Record implements driver.Observer.
+func (o *Observer) Record(r engine.Record) {
+	o.Metrics.Decided(r.Kind)
+	if !o.log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.pending) >= maxPending {
+		o.dropped++
+		return
+	}
+	o.pending = append(o.pending, stamped{at: now, record: r})
+}
+
+// Dropped returns the number of records lost because formatting was too slow.
+func (o *Observer) Dropped() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.dropped
+}
+
+func (o *Observer) format() {
+	defer close(o.done)
+	ticker := time.NewTicker(formatInterval)
+	defer ticker.Stop()
+	var spare []stamped
+	for {
+		stopped := false
+		select {
+		case <-o.stop:
+			stopped = true
+		case <-ticker.C:
+		}
+		o.mu.Lock()
+		full := o.pending
+		o.pending = spare[:0]
+		o.mu.Unlock()
+		for i := range full {
+			o.write(&full[i])
+		}
+		spare = full
+		if stopped {
+			return
+		}
+	}
+}
+
+func (o *Observer) write(s *stamped) {
+	r := &s.record
+	line := slog.NewRecord(s.at, slog.LevelInfo, string(r.Kind), 0)
+	line.AddAttrs(
+		slog.Uint64("call", uint64(r.ID)),
+		slog.String("request_id", r.RequestID),
+		slog.String("caller", r.Caller),
+		slog.String("kind", r.CallKind),
+		slog.String("service", r.Service),
+		slog.String("importance", r.Rank.Importance().String()),
+		slog.Uint64("rank", uint64(r.Rank)),
+		slog.String("rule", r.Reason),
+	)
+	if r.Host != "" {
+		line.AddAttrs(slog.String("host", string(r.Host)))
+	}
+	if r.Attempt > 0 {
+		line.AddAttrs(slog.Int("attempt", r.Attempt), slog.Int("credit", r.Credit))
+	}
+	if r.Refused != "" {
+		line.AddAttrs(slog.String("refused", string(r.Refused)), slog.String("verdict", r.Verdict.String()))
+	}
+	_ = o.log.Handle(context.Background(), line)
+}
+
+// Answered implements driver.Observer.
+func (o *Observer) Answered(a driver.Answered) {
+	o.Metrics.Answered(a.Importance, a.Refusal, a.Latency)
+	if a.Refusal != nil {
+		o.Refused(a.RequestID, a.Service, a.Caller, a.Refusal)
+	}
+}
+
+// Refused keeps a refusal for operators.
+func (o *Observer) Refused(requestID, service, caller string, r *verdict.Refusal) {
+	entry := Refusal{
+		Time:         time.Now(),
+		RequestID:    requestID,
+		Service:      service,
+		Caller:       caller,
+		Verdict:      r.Verdict.String(),
+		Reason:       string(r.Reason),
+		Detail:       r.Detail,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.recent) < recentRefusals {
+		o.recent = append(o.recent, entry)
+		return
+	}
+	o.recent[o.next] = entry
+	o.next = (o.next + 1) % recentRefusals
+}
+
+// Recent returns the recent refusals, newest first, of one request if
+// requestID is set.
+func (o *Observer) Recent(requestID string) []Refusal {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]Refusal, 0, len(o.recent))
+	for i := range o.recent {
+		entry := o.recent[(o.next+len(o.recent)-1-i)%len(o.recent)]
+		if requestID == "" || entry.RequestID == requestID {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
