core/engine: run each fault at each step of a call

Cause: the generated histories draw faults at random times, so that nothing showed which fault had met which step. Change: package history takes a script of faults, each caused at a step of a call. TestFaultAtStep runs the 12 faults at 10 steps, TestFaultPair all ordered pairs and each fault twice, with I1 to I7 checked. I2 (order at the guard), I6 and I7 have deliberate faults that the checks find. Random histories are unchanged.

--- a/core/internal/history/callers.go
+++ b/core/internal/history/callers.go
@@ -42,13 +42,18 @@
 		onAnswer: onAnswer, onBreak: onBreak,
 	}
 	n.w.check.opened(e)
-	n.post(0, func() engine.Event {
+	var deliver func() engine.Event
+	deliver = func() engine.Event {
+		if n.interrupted(StepRoute, deliver) {
+			return nil
+		}
 		e.id = n.nextID()
 		e.spec.ID = call.ID(e.id)
 		n.entries[e.id] = e
 		n.w.check.arrived(e)
 		return e.spec
-	})
+	}
+	n.post(0, deliver)
 	return e
 }
 
--- a/core/internal/history/faults.go
+++ b/core/internal/history/faults.go
@@ -29,11 +29,7 @@
 	case 3:
 		w.isolate(n, until)
 	case 4:
-		w.trace("silent connections at %s", n.host.ID)
-		for _, m := range w.nodes {
-			w.net.silent[[2]int{n.index, m.index}] = until
-			w.net.silent[[2]int{m.index, n.index}] = until
-		}
+		w.silence(n, until)
 	case 5:
 		for _, m := range w.nodes {
 			m.post(w.between(0, 100*time.Millisecond), func() engine.Event {
@@ -106,6 +102,7 @@
 	}
 	n.post(0, func() engine.Event {
 		n.draining, n.drainedAt = true, w.now
+		n.causeSoon(StepStop, n)
 		if w.chance(30) {
 			return engine.HealthProbed{Healthy: true, Draining: true}
 		}
--- a/core/internal/history/net.go
+++ b/core/internal/history/net.go
@@ -200,7 +200,11 @@
 // arrive delivers the call to the process that runs at the target now.
 func (a *attempt) arrive() {
 	n := a.to
-	n.post(0, func() engine.Event {
+	var deliver func() engine.Event
+	deliver = func() engine.Event {
+		if n.interrupted(StepAdmit, deliver) {
+			return nil
+		}
 		if !a.open && n.w.chance(50) {
 			return nil // the cancellation overtook the call
 		}
@@ -216,7 +220,8 @@
 		a.arrived = append(a.arrived, p)
 		n.w.check.peerArrived(p)
 		return engine.PeerCallArrived{ID: call.ID(p.id), From: a.from.host.ID, Call: a.call}
-	})
+	}
+	n.post(0, deliver)
 }
 
 // notMember is the reply of a runtime on whose list the sender is missing.
@@ -236,6 +241,7 @@
 		return
 	}
 	reply := a.Reply
+	w.mislead(&reply)
 	if w.opt.Reply != nil {
 		w.opt.Reply(at.call, &reply)
 	}
--- a/core/internal/history/setup.go
+++ b/core/internal/history/setup.go
@@ -120,12 +120,18 @@
 			return w.opt.Admit(admit.New(service, callers))
 		}
 	}
+	routing := route.Builder(route.New)
+	if w.opt.Route != nil {
+		routing = func(self route.Locality, random func(int) int) route.Router {
+			return w.opt.Route(route.New(self, random))
+		}
+	}
 	return engine.Config{
 		Host: n.host.ID, Incarnation: n.host.Incarnation,
 		Zone: n.host.Zone, Region: n.host.Region, Service: n.host.Service,
 		Random: source.IntN,
 		Token:  func() string { return fmt.Sprintf("%s/%016x", n.host.ID, source.Uint64()) },
-		Admit:  admission, Route: route.New, Budget: budget, Pressure: pressure.New,
+		Admit:  admission, Route: routing, Budget: budget, Pressure: pressure.New,
 		Keys: keys, ParseOwner: once.ParseOwner,
 	}
 }
--- a/core/internal/history/world.go
+++ b/core/internal/history/world.go
@@ -14,6 +14,7 @@
 	"toucangw.example/core/member"
 	"toucangw.example/core/once"
 	"toucangw.example/core/policy"
+	"toucangw.example/core/route"
 )
 
 // Phases of a history. Faults and calls start in the first phase; at the end
@@ -37,6 +38,10 @@
 	Call func(*engine.PeerCall)
 	// Reply changes the reply to a call between nodes on its way.
 	Reply func(engine.PeerCall, *engine.Reply)
+	// Route wraps the router of each process.
+	Route func(route.Router) route.Router
+	// Script causes these faults one after the other instead of random ones.
+	Script []Cue
 	// Records counts what an engine remembers of calls; nil for Stats only.
 	Records func(*engine.Engine) int
 }
@@ -98,6 +103,7 @@
 	net      network
 	check    checker
 	stats    Stats
+	script   script
 	serial   int // numbers requests
 	lifetime time.Duration
 	maxKeys  int
@@ -117,7 +123,11 @@
 	w.configure()
 	w.start()
 	w.scheduleCalls()
-	w.scheduleFaults()
+	if opt.Script == nil {
+		w.scheduleFaults()
+	} else {
+		w.play()
+	}
 	w.after(healTime, w.heal)
 	w.loop()
 	w.check.end()
@@ -225,9 +235,9 @@
 	source := rand.New(rand.NewPCG(w.opt.Seed, uint64(n.index)<<32|n.host.Incarnation))
 	n.eng = engine.New(w.engineConfig(n, source))
 	w.trace("%s starts incarnation %d", n.host.ID, n.host.Incarnation)
-	n.step(engine.PolicyChanged{Policy: w.policy})
-	n.step(engine.HostsChanged{Hosts: w.list(n, false)})
+	n.learn()
 	n.tick(n.epoch)
+	n.causeSoon(StepStart, n)
 }
 
 func (n *node) tick(epoch int) {
@@ -274,6 +284,7 @@
 		if _, record := action.(engine.Record); !record {
 			n.w.trace("%s -> %T%+v", n.host.ID, action, action)
 		}
+		n.observe(action)
 		n.act(action)
 	}
 }
