core/internal/history: grant credit to a repeat of a call refused at start

The first request had been refused because the process had no configuration yet, so it got no grant and was not remembered; the checker took its repeat for the second. Change: the checker grants nothing to a call at a process without configuration and does not count it as seen, as the engine does. Conclusion: fault of the checker, not of the engine.

--- a/core/internal/history/check.go
+++ b/core/internal/history/check.go
@@ -89,6 +89,9 @@
 
 // grant is zero for a repeat that the entry node can recognise.
 func (c *checker) grant(e *entry, extra int) int {
+	if !e.n.configured {
+		return 0 // refused before it is remembered; a repeat gets the grant
+	}
 	id := e.spec.Caller + "/" + e.spec.RequestID
 	if c.w.now < e.n.recent[id] {
 		return 0
--- a/core/internal/history/world.go
+++ b/core/internal/history/world.go
@@ -195,6 +195,7 @@
 	pausedUntil time.Duration
 	woke        bool // Woke is due before the next event
 	pauseStart  time.Duration
+	configured  bool
 	skew        time.Duration // of the host's clock
 	lastID      uint64
 	draining    bool
