core/spread: run faults and pairs of faults while a change spreads

Cause: the tests of the fleet cover chosen faults, not each fault at each step of the configuration path, and no pairs. Change: eight faults at configuration read, spreading and list read, and all ordered pairs of them, on 30 nodes; I8 and the host views are checked. Three deliberate faults show that the checks can fail.

--- /dev/null
+++ b/core/spread/matrix_test.go
@@ -0,0 +1,233 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangw.example/core/member"
+	"toucangw.example/core/spread"
+	"toucangw.example/core/spread/spreadtest"
+)
+
+// faultLength is how long a fault of the matrix lasts.
+const faultLength = 20 * time.Second
+
+// newHost is a host that the changed list adds.
+const newHost = member.HostID("host-99999")
+
+// matrix is one cell of docs/fault-matrix.md: a change during which faults
+// occur.
+type matrix struct {
+	f      *spreadtest.Fleet
+	random *rand.Rand
+	stale  *spreadtest.Platform // answers as before the change
+	fresh  *spreadtest.Platform
+	newest map[member.HostID]uint64
+	broken []string // violations of I8
+}
+
+func newMatrix(seed uint64) *matrix {
+	m := &matrix{
+		f: spreadtest.NewFleet(seed), random: rand.New(rand.NewPCG(seed, 5)), newest: map[member.HostID]uint64{},
+	}
+	m.f.OnAdopt = func(n *spreadtest.Node, set *spread.Set) {
+		if set.Prefix != spread.ConfigPrefix {
+			return
+		}
+		if set.Revision < m.newest[n.ID] {
+			m.broken = append(m.broken, fmt.Sprintf("%s went back from %d to %d", n.ID, m.newest[n.ID], set.Revision))
+		}
+		m.newest[n.ID] = max(m.newest[n.ID], set.Revision)
+		if strings.Contains(string(set.Base()), "invalid") {
+			m.broken = append(m.broken, fmt.Sprintf("%s took an invalid base into force", n.ID))
+		}
+	}
+	m.f.Deploy(30, 3, base(0))
+	m.f.Run(30 * time.Second)
+	copied := *m.f.Platform
+	m.stale, m.fresh = &copied, m.f.Platform
+	m.stale.Freeze()
+	return m
+}
+
+// victims returns two readers and another node.
+func (m *matrix) victims() []*spreadtest.Node {
+	readers, up := m.f.Readers(), m.f.UpNodes()
+	out := []*spreadtest.Node{up[m.random.IntN(len(up))]}
+	for range min(2, len(readers)) {
+		out = append(out, readers[m.random.IntN(len(readers))])
+	}
+	return out
+}
+
+// controlFaults begin a fault; heal ends it.
+var controlFaults = []struct {
+	name  string
+	begin func(m *matrix)
+}{
+	{"platform-down", func(m *matrix) { m.fresh.Down, m.stale.Down = true, true }},
+	{"platform-stale", func(m *matrix) { m.f.Platform = m.stale }},
+	{"pause", func(m *matrix) {
+		for _, n := range m.victims() {
+			n.Pause(faultLength / 2)
+		}
+	}},
+	{"partition", func(m *matrix) {
+		zone := spreadtest.ZoneName(m.random.IntN(3))
+		m.f.Cut = func(a, b *spreadtest.Node) bool { return (a.Zone == zone) != (b.Zone == zone) }
+		m.f.PlatformCut = func(n *spreadtest.Node) bool { return n.Zone == zone }
+	}},
+	{"silence", func(m *matrix) {
+		silent := map[*spreadtest.Node]bool{}
+		for _, n := range m.victims() {
+			silent[n] = true
+		}
+		m.f.Cut = func(a, b *spreadtest.Node) bool { return silent[a] || silent[b] }
+	}},
+	{"crash", func(m *matrix) {
+		for _, n := range m.victims() {
+			n.Kill()
+		}
+	}},
+	{"replacement", func(m *matrix) {
+		for _, n := range m.victims() {
+			n.Kill()
+			n.Start(m.f.Seeds()...)
+		}
+	}},
+	{"drain", func(m *matrix) {
+		for _, n := range m.victims() {
+			if n.Up {
+				n.Say(spread.Fact{Host: n.ID, Incarnation: n.Incarnation(), Leaving: true})
+				m.f.After(time.Second, n.Kill)
+			}
+		}
+	}},
+}
+
+func (m *matrix) heal() {
+	m.f.Cut, m.f.PlatformCut, m.f.Platform = nil, nil, m.fresh
+	m.fresh.Down = false
+	for _, n := range m.f.Nodes {
+		if !n.Up {
+			n.Start(m.f.Seeds()...)
+		}
+	}
+}
+
+// change publishes a configuration or a list and returns when it has arrived.
+func (m *matrix) change(list bool) (arrived func() bool) {
+	if !list {
+		revision := m.fresh.Put(spread.BaseName, base(1))
+		return func() bool { return m.f.InForce(revision) }
+	}
+	zone := spreadtest.ZoneName(1)
+	ids := []member.HostID{newHost}
+	for _, n := range m.f.Nodes {
+		if n.Zone == zone {
+			ids = append([]member.HostID{n.ID}, ids...)
+		}
+	}
+	m.fresh.Put(spread.HostsPrefix+zone, spreadtest.ListBody(zone, ids))
+	return func() bool {
+		for _, n := range m.f.UpNodes() {
+			if _, known := n.View.Host(newHost); !known {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// play changes something at one step and lets the faults occur, the later ones
+// while the earlier ones last. At a read they begin with the change, while it
+// spreads somewhat later.
+func (m *matrix) play(t *testing.T, step string, faults ...func(*matrix)) {
+	t.Helper()
+	begin := func() {
+		for i, fault := range faults {
+			m.f.After(time.Duration(i)*time.Duration(m.random.IntN(1000))*time.Millisecond, func() { fault(m) })
+		}
+	}
+	if step != "spreading" {
+		begin()
+		m.f.Run(time.Duration(m.random.IntN(2)) * time.Millisecond)
+	}
+	arrived := m.change(step == "list-read")
+	if step == "spreading" {
+		m.f.After(time.Duration(5+m.random.IntN(200))*time.Millisecond, begin)
+	}
+	m.f.Run(faultLength)
+	for _, n := range m.f.UpNodes() {
+		require.GreaterOrEqual(t, len(n.View.Nodes()), 30-3*len(faults), "%s emptied its view", n.ID)
+	}
+	m.heal()
+	require.Less(t, m.f.RunUntil(30*time.Second, arrived), bound)
+	m.f.Run(10 * time.Second)
+	require.True(t, arrived(), "a node went back later")
+	require.Empty(t, m.broken)
+}
+
+// Guards I8 against each fault while a configuration or a list is read, and
+// while a configuration spreads; the subtests are cells of
+// docs/fault-matrix.md.
+func TestFaultAtControlStep(t *testing.T) {
+	for _, fault := range controlFaults {
+		for _, step := range []string{"configuration-read", "spreading", "list-read"} {
+			t.Run(fault.name+"/"+step, func(t *testing.T) {
+				t.Parallel()
+				for seed := uint64(1); seed <= 4; seed++ {
+					newMatrix(seed).play(t, step, fault.begin)
+				}
+			})
+		}
+	}
+}
+
+// Guards I8 against all pairs of faults of the control path, in both orders,
+// and against each fault twice.
+func TestControlFaultPair(t *testing.T) {
+	for i, first := range controlFaults {
+		for j, second := range controlFaults {
+			t.Run(first.name+"+"+second.name, func(t *testing.T) {
+				t.Parallel()
+				step := []string{"configuration-read", "spreading", "list-read"}[(i+j)%3]
+				newMatrix(uint64(100+i*10+j)).play(t, step, first.begin, second.begin)
+			})
+		}
+	}
+}
+
+// Guards against checks of I8 that cannot fail: each deliberate fault must be
+// found.
+func TestMatrixFindsBrokenSpread(t *testing.T) {
+	t.Run("invalid base taken", func(t *testing.T) {
+		m := newMatrix(1)
+		m.f.Judge = func(*spread.Set, bool) string { return "" }
+		m.fresh.Put(spread.BaseName, "invalid")
+		m.f.Run(10 * time.Second)
+		require.NotEmpty(t, m.broken)
+	})
+	t.Run("older version taken", func(t *testing.T) {
+		m := newMatrix(2)
+		arrived := m.change(false)
+		m.f.RunUntil(bound, arrived)
+		m.f.Cut = func(*spreadtest.Node, *spreadtest.Node) bool { return true }
+		m.f.Platform = m.stale
+		m.f.Nodes[0].Kill()
+		m.f.Nodes[0].Start(m.f.Seeds()...)
+		m.f.Run(time.Minute)
+		require.NotEmpty(t, m.broken)
+		require.False(t, arrived())
+	})
+	t.Run("change that stays out", func(t *testing.T) {
+		m := newMatrix(3)
+		m.f.PlatformCut = func(*spreadtest.Node) bool { return true }
+		require.GreaterOrEqual(t, m.f.RunUntil(30*time.Second, m.change(false)), bound)
+	})
+}
--- a/core/spread/spreadtest/fleet.go
+++ b/core/spread/spreadtest/fleet.go
@@ -191,6 +191,9 @@
 	n.Up = false
 }
 
+// Incarnation tells the processes at the node apart.
+func (n *Node) Incarnation() uint64 { return n.born }
+
 // Pause stops the process for a time. What arrives meanwhile is handled late.
 func (n *Node) Pause(d time.Duration) { n.wakeAt = n.fleet.Now.Add(d) }
 
