engine: issue no fresh key at a host whose upstream is down

Cause: a sign-off refused because its upstream could not be reached came back with a fresh key of the same host, so its next try failed too. Change: such a refusal carries no key; the caller asks again without one and gets a key of another host, since the router counts the failure. The test's caller now drops a key that was reported as not run.

--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -327,7 +327,10 @@
 		load := e.admitter.Load(now)
 		r.Load = route.Report{Running: load.Running, Queued: load.Queued, Limit: load.Limit}
 	}
-	if refusal != nil && refusal.Verdict == verdict.NotRun && g.req.Key != "" && !e.leaving {
+	// An upstream that cannot be reached would fail the next submission too;
+	// without a key the caller gets one of another host.
+	deadEnd := e.leaving || refusal != nil && refusal.Reason == verdict.UpstreamFailed
+	if refusal != nil && refusal.Verdict == verdict.NotRun && g.req.Key != "" && !deadEnd {
 		r.NextKey, _ = e.keys.Issue(now, g.req.Service, g.req.Caller)
 	}
 	return r
--- a/node/upstream_down_test.go
+++ b/node/upstream_down_test.go
@@ -27,6 +27,7 @@
 				break
 			}
 			require.Equal(t, "not-run", r.header.Get("Toucangw-Verdict"), "%s", r.body)
+			delete(header, "Idempotency-Key") // it never runs
 			if key := r.header.Get("Idempotency-Key"); key != "" {
 				header["Idempotency-Key"] = key
 			}
