--- a/bench/report.go
+++ b/bench/report.go
@@ -11,14 +11,17 @@
 
 // Plan selects what to measure.
 type Plan struct {
-	Seeds       int
-	PairSeeds   int
-	Parallel    int
-	Scenarios   []string // empty for all
-	Deployments []string
-	Variants    []string
-	Policies    bool
-	Trace       io.Writer // receives a line for each run; may be nil
+	Seeds     int
+	PairSeeds int
+	// BaselineSeeds is the number of runs of the variants other than the
+	// product, which are slower since their calls multiply.
+	BaselineSeeds int
+	Parallel      int
+	Scenarios     []string // empty for all
+	Deployments   []string
+	Variants      []string
+	Policies      bool
+	Trace         io.Writer // receives a line for each run; may be nil
 
 	runs int
 }
@@ -68,7 +71,7 @@
 					continue
 				}
 				row := Row{Scenario: s.Name, Deployment: d.Name, Variant: v.Name}
-				row.Results = make([]Result, p.seedsOf(s))
+				row.Results = make([]Result, p.seedsOf(s, v))
 				for i := range row.Results {
 					jobs = append(jobs, job{d, s, v, uint64(i + 1), &row.Results[i]})
 				}
@@ -85,7 +88,10 @@
 	return rows, nil
 }
 
-func (p *Plan) seedsOf(s Scenario) int {
+func (p *Plan) seedsOf(s Scenario, v Variant) int {
+	if v.Name != Product().Name && !p.Policies {
+		return p.BaselineSeeds
+	}
 	if strings.Contains(s.Name, "+") {
 		return p.PairSeeds
 	}
