--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -70,6 +70,7 @@
 		req: call.Request{
 			ID:        ev.ID,
 			RequestID: ev.RequestID,
+			Caller:    ev.Caller,
 			Service:   ev.Service,
 			Key:       ev.Key,
 			Digest:    ev.Digest,
@@ -107,11 +108,10 @@
 	if e.policy.Callers[ev.Caller] == nil {
 		return verdict.Refuse(verdict.UnknownCaller, fmt.Sprintf("caller %q is not configured", ev.Caller))
 	}
+	rec.req.Kind = kind.Name
 	if e.leaving {
 		return verdict.Refuse(verdict.Leaving, "this host takes no new work")
 	}
-	rec.req.Caller = ev.Caller
-	rec.req.Kind = kind.Name
 	rec.req.Rank = call.NewRank(kind.Importance, kind.Worth, kind.TreeCost, ev.RequestID)
 	rec.req.Deadline = now.Add(shorter(kind.Deadline, ev.Timeout))
 	rec.req.Cost = kind.Cost
@@ -130,6 +130,7 @@
 // known parent it has the lowest importance and no retry credit.
 func (e *Engine) describeEgress(now time.Time, rec *entryCall, ev CallArrived, kind *policy.Kind) *verdict.Refusal {
 	rec.req.Key = ""
+	rec.req.Caller = ""
 	rec.req.Idempotent = idempotent(kind, ev.Method)
 	if kind != nil {
 		rec.req.Cost = kind.Cost
@@ -140,7 +141,9 @@
 		rec.req.Rank = call.NewRank(call.Background, 0, 0, ev.RequestID)
 		rec.req.Deadline = now.Add(shorter(orphanDeadline, ev.Timeout))
 		rec.class = pressure.Class{Service: ev.Service, Kind: rec.req.Kind}
-		rec.ownKey = true
+		// Without a parent a repeat cannot be recognised, so that a once-only
+		// call needs a key like a caller's request.
+		rec.req.Key = ev.Key
 		return e.refuseEarly(now, rec)
 	}
 	rec.parent = parent
@@ -160,6 +163,12 @@
 		return verdict.Refuse(verdict.DepthExceeded,
 			fmt.Sprintf("call chain is deeper than %d", e.policy.Limits.MaxDepth))
 	}
+	if parent.req.Idempotent && kind != nil && kind.OnceOnly {
+		// A retry of the parent would run on another host and make this call
+		// again under another key.
+		return verdict.Refuse(verdict.BadRequest,
+			fmt.Sprintf("once-only kind %q cannot be called from kind %q, which is not once-only", kind.Name, parent.req.Kind))
+	}
 	return e.joinParent(rec, ev)
 }
 
--- a/core/internal/history/check.go
+++ b/core/internal/history/check.go
@@ -89,6 +89,9 @@
 
 // grant is zero for a repeat that the entry node can recognise.
 func (c *checker) grant(e *entry, extra int) int {
+	if !e.n.configured {
+		return 0 // refused before it is remembered; a repeat gets the grant
+	}
 	id := e.spec.Caller + "/" + e.spec.RequestID
 	if c.w.now < e.n.recent[id] {
 		return 0
@@ -117,9 +120,10 @@
 	c.fail("%s holds peer call %d past its deadline", p.n.host.ID, p.id)
 }
 
-// heard notes that a host said that it is leaving.
+// heard notes that a host said that it is leaving. The engine cannot tell which
+// host sent a reply to a call that it has ended, as it may when it wakes.
 func (c *checker) heard(a *attempt, reply engine.Reply) {
-	current := a.entry.answers == 0 && a.entry.sends == a.id.attempt && a.open
+	current := a.entry.answers == 0 && a.entry.sends == a.id.attempt && a.open && !a.from.woke
 	if reply.Leaving && current && reply.RequestID == a.call.RequestID {
 		a.from.left[a.to.host.ID] = max(a.from.left[a.to.host.ID], reply.Incarnation)
 	}
@@ -235,6 +239,18 @@
 	}
 }
 
+// fenced requires that a fenced key holds no queue place.
+func (c *checker) fenced(n *node, key string, s engine.AnswerState) {
+	if s.State != once.Fenced {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[id]
+		waits := p.attempt.call.Key == key && p.answers == 0 && !p.cancelled
+		c.require(!waits, "%s holds peer call %d, whose key is fenced", n.host.ID, id)
+	}
+}
+
 // sent counts an attempt against the grant of the caller's request.
 func (c *checker) sent(a *attempt) {
 	e := a.entry
--- a/core/internal/history/faults.go
+++ b/core/internal/history/faults.go
@@ -19,7 +19,7 @@
 	w.stats.Faults++
 	n := w.anyIndex()
 	until := w.now + w.between(20*time.Millisecond, 1500*time.Millisecond)
-	switch w.rng.IntN(10) {
+	switch w.rng.IntN(11) {
 	case 0:
 		w.crashFor(n, w.between(0, 800*time.Millisecond))
 	case 1:
@@ -29,11 +29,7 @@
 	case 3:
 		w.isolate(n, until)
 	case 4:
-		w.trace("silent connections at %s", n.host.ID)
-		for _, m := range w.nodes {
-			w.net.silent[[2]int{n.index, m.index}] = until
-			w.net.silent[[2]int{m.index, n.index}] = until
-		}
+		w.silence(n, until)
 	case 5:
 		for _, m := range w.nodes {
 			m.post(w.between(0, 100*time.Millisecond), func() engine.Event {
@@ -53,6 +49,13 @@
 		for range 15 {
 			w.after(w.between(0, 20*time.Millisecond), w.request)
 		}
+	case 10:
+		changed := w.changedPolicy(1 + w.rng.IntN(4))
+		for _, m := range w.nodes {
+			m.post(w.between(0, 100*time.Millisecond), func() engine.Event {
+				return engine.PolicyChanged{Policy: changed}
+			})
+		}
 	}
 }
 
@@ -106,6 +109,7 @@
 	}
 	n.post(0, func() engine.Event {
 		n.draining, n.drainedAt = true, w.now
+		n.causeSoon(StepStop, n)
 		if w.chance(30) {
 			return engine.HealthProbed{Healthy: true, Draining: true}
 		}
--- a/core/internal/history/setup.go
+++ b/core/internal/history/setup.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -73,6 +74,19 @@
 	}
 }
 
+// changedPolicy is the next revision, with another number of slots.
+func (w *world) changedPolicy(slots int) *policy.Policy {
+	next := *w.policy
+	next.Revision++
+	next.Services = maps.Clone(w.policy.Services)
+	for name, service := range w.policy.Services {
+		changed := *service
+		changed.Slots = slots
+		next.Services[name] = &changed
+	}
+	return &next
+}
+
 // start makes two or three hosts of each service in two zones.
 func (w *world) start() {
 	for _, service := range []string{front, ledger} {
@@ -120,12 +134,18 @@
 			return w.opt.Admit(admit.New(service, callers))
 		}
 	}
+	routing := route.Builder(route.New)
+	if w.opt.Route != nil {
+		routing = func(self route.Locality, random func(int) int) route.Router {
+			return w.opt.Route(route.New(self, random))
+		}
+	}
 	return engine.Config{
 		Host: n.host.ID, Incarnation: n.host.Incarnation,
 		Zone: n.host.Zone, Region: n.host.Region, Service: n.host.Service,
 		Random: source.IntN,
 		Token:  func() string { return fmt.Sprintf("%s/%016x", n.host.ID, source.Uint64()) },
-		Admit:  admission, Route: route.New, Budget: budget, Pressure: pressure.New,
+		Admit:  admission, Route: routing, Budget: budget, Pressure: pressure.New,
 		Keys: keys, ParseOwner: once.ParseOwner,
 	}
 }
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -59,13 +58,12 @@
 	entries map[HostID]*entry
 	zones   map[string][]HostID // hosts of the view by zone
 	pending map[string]List     // lists that traffic contradicts
+	loose   map[string]bool     // zones with hosts that only traffic keeps
 	// said holds what hosts said that are not in the view (yet).
 	said    map[HostID]saying
 	version uint64
 
-	cached  uint64 // version of hosts and nodes
-	hosts   map[string][]Host
-	nodes   []Host
+	cache   cache
 	checked time.Time
 }
 
@@ -83,8 +81,9 @@
 		entries: map[HostID]*entry{},
 		zones:   map[string][]HostID{},
 		pending: map[string]List{},
+		loose:   map[string]bool{},
 		said:    map[HostID]saying{},
-		version: 1,
+		cache:   cache{touched: map[HostID]bool{}},
 	}
 }
 
@@ -115,13 +114,13 @@
 		e.listed = false
 		if e.alive(now) {
 			ids = append(ids, id)
+			v.loose[list.Zone] = true
 		} else {
 			v.drop(id)
 		}
 	}
 	slices.Sort(ids)
 	v.zones[list.Zone] = ids
-	v.version++
 }
 
 func (v *view) holds(zone string) bool {
@@ -132,6 +131,10 @@
 // update takes one line of a list.
 func (v *view) update(h Host) {
 	e := v.entries[h.ID]
+	if e != nil && e.listed && e.host == h {
+		return
+	}
+	v.touch(h.ID)
 	if e == nil {
 		e = &entry{}
 		v.entries[h.ID] = e
@@ -201,7 +204,7 @@
 		return
 	}
 	if e.say(incarnation, leaving) {
-		v.version++
+		v.touch(host)
 	}
 }
 
@@ -214,7 +217,7 @@
 		e.aliveAt = now
 	}
 	if e.say(incarnation, false) {
-		v.version++
+		v.touch(host)
 	}
 }
 
@@ -226,15 +229,24 @@
 	for _, zone := range slices.Sorted(maps.Keys(v.pending)) {
 		v.SetList(now, v.pending[zone])
 	}
-	for zone, ids := range v.zones {
-		if v.holds(zone) {
-			continue
-		}
-		kept := slices.DeleteFunc(ids, func(id HostID) bool { return v.dropSilent(now, zone, id) })
-		if len(kept) < len(ids) {
-			v.zones[zone] = kept
-			v.version++
-		}
+	for _, zone := range slices.Sorted(maps.Keys(v.loose)) {
+		v.dropSilentHosts(now, zone)
+	}
+}
+
+// dropSilentHosts drops the unlisted hosts of a zone whose traffic has ended.
+func (v *view) dropSilentHosts(now time.Time, zone string) {
+	if v.holds(zone) {
+		return
+	}
+	loose := false
+	v.zones[zone] = slices.DeleteFunc(v.zones[zone], func(id HostID) bool {
+		gone := v.dropSilent(now, zone, id)
+		loose = loose || !gone && !v.entries[id].listed
+		return gone
+	})
+	if !loose {
+		delete(v.loose, zone)
 	}
 }
 
@@ -259,6 +271,7 @@
 		v.keepSaid(id, saying{e.left, true})
 	}
 	delete(v.entries, id)
+	v.touch(id)
 }
 
 func (v *view) keepSaid(id HostID, s saying) {
@@ -268,48 +281,14 @@
 	v.said[id] = s
 }
 
-func (v *view) refresh() {
-	if v.cached == v.version {
-		return
-	}
-	v.cached = v.version
-	v.nodes = make([]Host, 0, len(v.entries))
-	for _, e := range v.entries {
-		if !e.leaving() {
-			v.nodes = append(v.nodes, e.view())
-		}
-	}
-	slices.SortFunc(v.nodes, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
-	v.nodes = dropReplaced(v.nodes)
-	v.hosts = map[string][]Host{}
-	for _, h := range v.nodes {
-		v.hosts[h.Service] = append(v.hosts[h.Service], h)
-	}
-}
-
-// dropReplaced leaves out hosts whose address a later incarnation has taken
-// over under another id.
-func dropReplaced(hosts []Host) []Host {
-	newest := make(map[string]uint64, len(hosts))
-	for _, h := range hosts {
-		newest[h.Addr] = max(newest[h.Addr], h.Incarnation)
-	}
-	if len(newest) == len(hosts) {
-		return hosts
-	}
-	return slices.DeleteFunc(hosts, func(h Host) bool {
-		return h.Incarnation != 0 && h.Incarnation < newest[h.Addr]
-	})
-}
-
 func (v *view) Hosts() map[string][]Host {
 	v.refresh()
-	return v.hosts
+	return v.cache.hosts
 }
 
 func (v *view) Nodes() []Host {
 	v.refresh()
-	return v.nodes
+	return v.cache.nodes
 }
 
 func (v *view) Host(id HostID) (Host, bool) {
--- a/core/spread/exchange.go
+++ b/core/spread/exchange.go
@@ -24,15 +24,26 @@
 	if len(s.nodes) == 0 {
 		return s.exchangeWithSeed(now)
 	}
-	var out []Action
 	id, ok := s.partners.one()
-	if ok {
-		out = append(out, SendExchange{To: id, Request: s.request(now)})
+	if !ok {
+		return nil
 	}
-	if reader, ok := s.readerToAsk(); ok && reader != id {
-		out = append(out, SendExchange{To: reader, Request: s.request(now)})
+	return []Action{SendExchange{To: id, Request: s.request(now)}}
+}
+
+// exchangePeriod is twice as long for readers and deputies, which also exchange
+// with each other. Without this, readers need half as many bytes again as other
+// nodes.
+func (s *State) exchangePeriod() time.Duration {
+	switch {
+	case len(s.nodes) == 0:
+		return seedPeriod
+	case s.config.force.Revision == 0:
+		return startPeriod
+	case s.rank < ReadersPerZone+deputies && len(s.partners.local.all) > localPartners:
+		return 2 * ExchangePeriod
 	}
-	return out
+	return ExchangePeriod
 }
 
 func (s *State) exchangeWithSeed(now time.Time) []Action {
@@ -43,11 +54,14 @@
 	return []Action{SendExchange{To: id, Request: s.request(now)}}
 }
 
-// readerToAsk returns the reader that a deputy asks for a sign, in rotation.
-func (s *State) readerToAsk() (member.HostID, bool) {
-	if s.rank < ReadersPerZone || s.rank >= ReadersPerZone+deputies || len(s.readers) == 0 {
+// readerToAsk returns the reader that a deputy asks now for a sign, in
+// rotation.
+func (s *State) readerToAsk(now time.Time) (member.HostID, bool) {
+	deputy := s.rank >= ReadersPerZone && s.rank < ReadersPerZone+deputies
+	if !deputy || len(s.readers) == 0 || now.Before(s.nextSign) {
 		return "", false
 	}
+	s.nextSign = now.Add(signPeriod)
 	s.rotation++
 	return s.readers[s.rotation%len(s.readers)], true
 }
@@ -84,6 +98,9 @@
 		if u := l.offer(v); u != nil {
 			reply.Updates = append(reply.Updates, *u)
 		}
+		if told := l.shown(); told.revision > max(v.Rejected, v.InForce) {
+			explain(reply.Sets, v.Prefix, told.reason)
+		}
 	}
 	if req.Facts != s.facts.digest {
 		reply.Facts = s.facts.newest(now, factsPerMessage)
@@ -91,11 +108,25 @@
 	return reply, nil
 }
 
+// explain adds the reason of a rejection.
+func explain(sets []SetVersion, prefix, reason string) {
+	for i := range sets {
+		if sets[i].Prefix == prefix {
+			sets[i].Reason = reason
+		}
+	}
+}
+
 func (s *State) exchangeReplied(now time.Time, e ExchangeReplied) []Action {
 	s.takeSign(now, e.Reply.Sign)
 	out := s.learn(now, e.Reply.Facts)
 	out = append(out, s.takeUpdates(e.Reply.Updates)...)
 	s.peerAnswered(now, e.From, e.Reply.Sets)
+	for _, v := range e.Reply.Sets {
+		if l := s.lane(v.Prefix); l != nil {
+			l.tell(rejection{v.Rejected, v.Reason})
+		}
+	}
 	out = append(out, s.askDetailed(now, e)...)
 	push := s.behind(e.Reply.Sets)
 	var facts []Fact
@@ -177,6 +208,9 @@
 func (s *State) pushUpdate(now time.Time, u Update) []Action {
 	var out []Action
 	for _, id := range s.partners.some(localPushes, remotePushes) {
+		if u.Prefix == ConfigPrefix && s.reports[id].InForce >= u.To {
+			continue // it has pushed or reported that revision itself
+		}
 		out = append(out, SendPush{To: id, Request: s.push(now, []Update{u}, nil)})
 	}
 	return out
@@ -203,12 +237,22 @@
 	s.takeSign(now, req.Sign)
 	out := s.learn(now, req.Facts)
 	out = append(out, s.takeUpdates(req.Updates)...)
+	for _, u := range req.Updates {
+		if u.Prefix == ConfigPrefix {
+			s.report(now, req.From, u.To)
+		}
+	}
 	return &PushReply{Sets: s.versions()}, out
 }
 
 // pushReplied sends the chain from the receiver's version if the pushed delta
 // did not fit there.
 func (s *State) pushReplied(now time.Time, e PushReplied) []Action {
+	for _, v := range e.Reply.Sets {
+		if v.Prefix == ConfigPrefix && v.InForce > 0 {
+			s.report(now, e.From, v.InForce)
+		}
+	}
 	if e.Second {
 		return nil
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -31,7 +31,7 @@
 	// deputies watch the readers directly and take over first.
 	deputies = 3
 	// deputyDelay is the age of the newest sign of a reader at which deputies
-	// take over. They ask one reader each period in rotation, so with two of
+	// take over. They ask one reader each signPeriod in rotation, so with two of
 	// three readers dead the sign of the third is at most three periods old.
 	deputyDelay = 3500 * time.Millisecond
 	// otherDelay is the age at which nodes behind the deputies take over. Signs
@@ -44,8 +44,23 @@
 	// actingTime is how long a node that took over keeps reading at least.
 	actingTime = 30 * time.Second
 
+	// firstFetchers is the number of readers that fetch a changed value at once;
+	// the others wait for a peer to bring it, fetchDelay and another fetchStep
+	// for each reader before them. A base of 400 KB read by all 39 readers at
+	// 18,000 changes a day would cost each of them over 80 KB/s.
+	firstFetchers = 2
+	fetchDelay    = time.Second
+	fetchStep     = 50 * time.Millisecond
+
 	// ExchangePeriod is the mean time between two exchanges that a node begins.
-	ExchangePeriod = time.Second
+	// At one second the busiest of 800 nodes needed 2.96 KB/s.
+	ExchangePeriod = 1500 * time.Millisecond
+	// startPeriod applies while no configuration is in force, and seedPeriod
+	// while only seeds are known, which all starting nodes ask.
+	startPeriod = 500 * time.Millisecond
+	seedPeriod  = time.Second
+	// signPeriod is the time between two exchanges of a deputy with a reader.
+	signPeriod = time.Second
 	// watchWait is how long a read of the platform may wait for a change.
 	watchWait = 10 * time.Second
 
@@ -108,6 +123,7 @@
 type PlatformRead struct {
 	Prefix string
 	After  uint64 // as in Read
+	Notice bool   // as in Read
 	Answer Answer
 }
 
@@ -160,6 +176,7 @@
 	Prefix string
 	After  uint64
 	Wait   time.Duration
+	Notice bool // leave out the values: only the revision is wanted
 }
 
 // SendExchange sends an exchange request to a node.
