core/engine: test the checks directly before a run

Cause: with the deadline check or the key check before a run removed, all cells of the matrix still passed, since admission drops such calls first. Change: a test with an admitter that keeps overdue calls and a ledger that refuses to begin.

--- a/core/engine/entry_test.go
+++ b/core/engine/entry_test.go
@@ -22,20 +22,24 @@
 var start = time.Unix(1_700_000_000, 0)
 
 // newNode returns the engine of host a, which guards service "ledger", with
-// hosts b and c beside it.
-func newNode(t *testing.T) *engine.Engine {
+// hosts b and c beside it, with other parts as changed.
+func newNode(t *testing.T, change ...func(*engine.Config)) *engine.Engine {
 	t.Helper()
 	keys, err := once.New(once.Config{
 		Host: "a", Incarnation: 1, Start: start, Secret: make([]byte, once.SecretLen),
 		Nonce: func() uint64 { return 7 }, Lifetime: time.Minute, MaxKeys: 10, MaxAnswerBytes: 1 << 10,
 	})
 	require.NoError(t, err)
-	e := engine.New(engine.Config{
+	cfg := engine.Config{
 		Host: "a", Incarnation: 1, Zone: "z", Service: "ledger",
 		Random: func(int) int { return 0 }, Token: func() string { return "token" },
 		Admit: admit.New, Route: route.New, Budget: retry.NewBudget, Pressure: pressure.New,
 		Keys: keys, ParseOwner: once.ParseOwner,
-	})
+	}
+	for _, c := range change {
+		c(&cfg)
+	}
+	e := engine.New(cfg)
 	e.Step(start, engine.PolicyChanged{Policy: &policy.Policy{
 		Services: map[string]*policy.Service{"ledger": {Name: "ledger", Slots: 4}},
 		Callers:  map[string]*policy.Caller{"polder": {Name: "polder", Share: 1}},
--- a/core/engine/matrix_test.go
+++ b/core/engine/matrix_test.go
@@ -14,6 +14,8 @@
 	"toucangw.example/core/engine"
 	"toucangw.example/core/internal/history"
 	"toucangw.example/core/member"
+	"toucangw.example/core/once"
+	"toucangw.example/core/policy"
 	"toucangw.example/core/route"
 	"toucangw.example/core/verdict"
 )
@@ -176,6 +178,51 @@
 	return nil
 }
 
+// refusingLedger finds each key fenced directly before its run.
+type refusingLedger struct{ once.Ledger }
+
+func (refusingLedger) Begin(time.Time, string) bool { return false }
+
+// Guards the checks directly before a run (pause at the queue): neither an
+// overdue call nor a fenced key runs, even if admission lets it. The cells
+// above cannot show this, since admission drops such calls before.
+func TestChecksDirectlyBeforeRun(t *testing.T) {
+	e := newNode(t, func(cfg *engine.Config) {
+		cfg.Keys = refusingLedger{cfg.Keys}
+		cfg.Admit = func(*policy.Service, map[string]*policy.Caller) admit.Admitter {
+			return &fifoAdmitter{Admitter: admit.New(&policy.Service{Slots: 1}, nil)}
+		}
+	})
+	arrive := func(now time.Time, id call.ID, key string) []engine.Action {
+		return e.Step(now, engine.PeerCallArrived{ID: id, From: "b", Call: engine.PeerCall{
+			RequestID: "r", Service: "ledger", Caller: "polder", Remaining: time.Second, Key: key,
+		}})
+	}
+	only[engine.RunUpstream](t, arrive(start, 1, ""))
+	require.Empty(t, slices.DeleteFunc(arrive(start, 2, ""), func(a engine.Action) bool {
+		_, record := a.(engine.Record)
+		return record
+	}))
+	key := only[engine.AnswerKey](t, e.Step(start, engine.KeyRequested{ID: 3, Service: "ledger", Caller: "polder"}))
+	arrive(start, 4, key.Key)
+	late := start.Add(2 * time.Second)
+	done := e.Step(late, engine.UpstreamReplied{ID: 1, Answer: &call.Answer{Status: 200}})
+	reasons := map[verdict.Reason]verdict.Verdict{}
+	for _, a := range done {
+		_, run := a.(engine.RunUpstream)
+		require.False(t, run, "an overdue call runs")
+		if reply, ok := a.(engine.AnswerPeer); ok && reply.Reply.Refusal != nil {
+			reasons[reply.Reply.Refusal.Reason] = reply.Reply.Refusal.Verdict
+		}
+	}
+	require.Equal(t, map[verdict.Reason]verdict.Verdict{verdict.DeadlineUnmet: verdict.NotRun}, reasons)
+
+	key = only[engine.AnswerKey](t, e.Step(late, engine.KeyRequested{ID: 5, Service: "ledger", Caller: "polder"}))
+	refused := only[engine.AnswerPeer](t, arrive(late, 6, key.Key))
+	require.Equal(t, verdict.KeyFenced, refused.Reply.Refusal.Reason)
+	require.True(t, e.Idle())
+}
+
 // hastyAdmitter refuses what waits as if the host were leaving.
 type hastyAdmitter struct{ admit.Admitter }
 
