core/spread: test a host that leaves during each fault

Cause: the 3 s of I6 were tested without further faults only. Change: a host says that it is leaving around the begin of each of eight faults; 3 s after the end no node uses it, and a later list does not bring it back. A host that ends without saying so shows that the check can fail.

--- a/core/spread/matrix_test.go
+++ b/core/spread/matrix_test.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// Guards against checks of I8 that cannot fail: each deliberate fault must be
+// Guards against checks of I6 and I8 that cannot fail: each deliberate fault must be
 // found.
 func TestMatrixFindsBrokenSpread(t *testing.T) {
 	t.Run("invalid base taken", func(t *testing.T) {
@@ -225,9 +225,67 @@
 		require.NotEmpty(t, m.broken)
 		require.False(t, arrived())
 	})
+	t.Run("host that leaves without saying so", func(t *testing.T) {
+		m := newMatrix(4)
+		m.f.Nodes[10].Kill()
+		m.f.Run(10 * time.Second)
+		require.Positive(t, m.usedBy(m.f.Nodes[10]))
+	})
 	t.Run("change that stays out", func(t *testing.T) {
 		m := newMatrix(3)
 		m.f.PlatformCut = func(*spreadtest.Node) bool { return true }
 		require.GreaterOrEqual(t, m.f.RunUntil(30*time.Second, m.change(false)), bound)
 	})
 }
+
+// usedBy returns how many running nodes would still send work to a host.
+func (m *matrix) usedBy(host *spreadtest.Node) (count int) {
+	for _, n := range m.f.UpNodes() {
+		for _, h := range n.View.Nodes() {
+			if h.ID == host.ID && n != host {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Guards I6 against each fault while a host leaves: 3 s after the end of the
+// fault no node uses it, and a late list or a restarted node does not bring it
+// back.
+func TestLeavingDuringFault(t *testing.T) {
+	for _, fault := range controlFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			left := 0
+			for seed := uint64(1); seed <= 3; seed++ {
+				m := newMatrix(seed)
+				host := m.f.Nodes[10+3*m.random.IntN(5)] // of the zone whose list changes
+				require.Equal(t, len(m.f.Nodes)-1, m.usedBy(host))
+				leave := func() {
+					if host.Up {
+						host.Say(spread.Fact{Host: host.ID, Incarnation: host.Incarnation(), Leaving: true})
+					}
+				}
+				before := host.Incarnation()
+				m.f.After(time.Duration(m.random.IntN(400))*time.Millisecond, leave)
+				m.f.After(time.Duration(m.random.IntN(400))*time.Millisecond, func() { fault.begin(m) })
+				m.f.Run(faultLength)
+				if host.Incarnation() != before {
+					continue // the fault ended the process
+				}
+				m.heal()
+				took := m.f.RunUntil(30*time.Second, func() bool { return m.usedBy(host) == 0 })
+				require.Less(t, took, 3*time.Second)
+				m.change(true)
+				n := m.f.Nodes[3]
+				n.Kill()
+				n.Start(m.f.Seeds()...)
+				m.f.Run(faultLength)
+				require.Zero(t, m.usedBy(host), "a late list brought the host back")
+				left++
+			}
+			require.Positive(t, left)
+		})
+	}
+}
