standin/caller: drop a key that was reported as not run

Cause: the stand-in kept a fenced key when the refusal carried no fresh one. Change: it asks for a key of another host. Conclusion: the stand-in follows the documented key flow.

--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -97,9 +97,10 @@
 }
 
 // again decides on a repeat and waits before it. A once-only request is
-// repeated with the same key unless the refusal carried a fresh one.
+// repeated with the same key unless it was reported as not run: then with the
+// fresh key of the refusal, or without one to get a key of another host.
 func (l *Load) again(ctx context.Context, key *string, o outcome, deadline time.Time) bool {
-	if o.verdict == "not-run" && o.key != "" {
+	if o.verdict == "not-run" {
 		*key = o.key
 	}
 	wait := o.wait
