--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -47,6 +47,8 @@
 	coldShare = 0.25
 	// shedStep is the decrease after the upstream refused a call for load.
 	shedStep = 0.95
+	// shedFloor is the part of the limit that one refusal leaves at least.
+	shedFloor = 0.5
 	// drift raises the best known ratio per window, so that a lasting change
 	// of the calls is accepted as normal after some minutes.
 	drift = 1.0005
@@ -163,7 +165,9 @@
 	if l.fixed || now.Before(l.shedUntil) {
 		return
 	}
-	l.limit = l.clamp(math.Min(l.limit, float64(running)) * shedStep)
+	// One refusal of a nearly idle upstream says little about its capacity.
+	bearable := math.Max(float64(running), l.limit*shedFloor)
+	l.limit = l.clamp(math.Min(l.limit, bearable) * shedStep)
 	l.phase = steady
 	l.skip = l.backoff
 	// Calls that were sent before the decrease may still be refused.
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -133,3 +133,16 @@
 	l.SetSlots(0, 0)
 	assert.Equal(t, 1, l.Current(now))
 }
+
+// Guards against a limit that one refusal of an idle upstream takes to its
+// floor, which a surge that follows would then meet.
+func TestOneRefusalLeavesHalfTheLimit(t *testing.T) {
+	l := limit.New(100, 0)
+	now := time.Unix(1000, 0)
+	l.Shed(now, 1)
+	assert.InDelta(t, 48, l.Current(now), 1)
+	for i := range 20 {
+		l.Shed(now.Add(time.Duration(i+1)*time.Second), 1)
+	}
+	assert.Equal(t, 10, l.Current(now.Add(time.Minute)), "refusals in a row still reach the floor")
+}
