engine: give a keyed submission its retry credit; bench: all parts in one command

Cause: the request that fetches a key and the submission that follows carry one request id, so the submission counted as a repeat and got no retry credit; make bench left out latency and control.

--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -2,11 +2,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -28,6 +30,8 @@
 	Deployment []string `long:"deployment" description:"only this deployment (repeatable)"`
 	Variant    []string `long:"variant" description:"only this variant (repeatable)"`
 	Policies   bool     `long:"policies" description:"measure the steps from FIFO to the product instead of the usual variants"`
+	Part       []string `long:"part" choice:"latency" choice:"control" choice:"overload" description:"only this part (repeatable)"`
+	Seed       uint64   `long:"seed" default:"1" description:"seed of the part control"`
 	Verbose    bool     `short:"v" long:"verbose" description:"print each run with its refusals"`
 }
 
@@ -56,6 +60,49 @@
 	if opt.Seeds < 1 || opt.Baselines < 1 || opt.PairSeeds < 1 || opt.Parallel < 1 {
 		return errors.New("--seeds, --pair-seeds, --baseline-seeds and --parallel must be at least 1")
 	}
+	figures, err := opt.measure(context.Background())
+	if err != nil || opt.Output == "" {
+		return err
+	}
+	return write(opt.Output, figures)
+}
+
+func (opt *options) wants(part string) bool {
+	return len(opt.Part) == 0 || slices.Contains(opt.Part, part)
+}
+
+// measure runs the wanted parts and prints their figures. Latency comes first,
+// before other parts leave garbage and heat.
+func (opt *options) measure(ctx context.Context) ([]bench.Measurement, error) {
+	var all []bench.Measurement
+	for _, part := range []struct {
+		name string
+		run  func() ([]bench.Measurement, error)
+	}{
+		{partLatency, func() ([]bench.Measurement, error) { return measureLatency(ctx) }},
+		{partControl, func() ([]bench.Measurement, error) { return measureControl(ctx, opt.Seed) }},
+	} {
+		if !opt.wants(part.name) {
+			continue
+		}
+		figures, err := part.run()
+		if err != nil {
+			return nil, err
+		}
+		if err := list(figures); err != nil {
+			return nil, err
+		}
+		all = append(all, figures...)
+	}
+	if !opt.wants(partOverload) {
+		return all, nil
+	}
+	figures, err := opt.measureOverload()
+	return append(all, figures...), err
+}
+
+// measureOverload compares the decisions under overload with baselines.
+func (opt *options) measureOverload() ([]bench.Measurement, error) {
 	debug.SetGCPercent(gcPercent)
 	plan := bench.Plan{
 		Seeds: opt.Seeds, PairSeeds: opt.PairSeeds, BaselineSeeds: opt.Baselines, Parallel: opt.Parallel,
@@ -67,16 +114,13 @@
 	begin := time.Now()
 	rows, err := plan.Run()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := table(rows); err != nil {
-		return err
+		return nil, err
 	}
 	fmt.Printf("%d runs in %v\n", plan.Runs(), time.Since(begin).Round(time.Second))
-	if opt.Output == "" {
-		return nil
-	}
-	return write(opt.Output, bench.Measurements(rows))
+	return bench.Measurements(rows), nil
 }
 
 // table prints one line for each row and the oracle's value beside it.
--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -117,15 +117,24 @@
 	rec.req.Cost = kind.Cost
 	rec.req.Idempotent = !kind.OnceOnly
 	rec.class = pressure.Class{Service: ev.Service, Kind: kind.Name, Caller: ev.Caller}
-	credit := kind.ExtraAttempts
-	if e.recent.add(ev.Caller, ev.RequestID, now, rec.req.Deadline) || ev.Repeat {
-		credit = 0
-	}
-	pool := retry.NewPool(credit)
+	pool := retry.NewPool(e.grant(now, rec, kind, ev))
 	rec.pool = &pool
 	return e.refuseEarly(now, rec)
 }
 
+// grant returns the retry credit of a caller's request. A repeat gets none. A
+// once-only request without a key only fetches one, so the submission that
+// follows is not a repeat of it.
+func (e *Engine) grant(now time.Time, rec *entryCall, kind *policy.Kind, ev CallArrived) int {
+	if kind.OnceOnly && ev.Key == "" {
+		return 0
+	}
+	if e.recent.add(ev.Caller, ev.RequestID, now, rec.req.Deadline) || ev.Repeat {
+		return 0
+	}
+	return kind.ExtraAttempts
+}
+
 // describeEgress describes an outgoing call of the local upstream. Without a
 // known parent it has the lowest importance and no retry credit.
 func (e *Engine) describeEgress(now time.Time, rec *entryCall, ev CallArrived, kind *policy.Kind) *verdict.Refusal {
--- a/core/engine/entry_test.go
+++ b/core/engine/entry_test.go
@@ -98,6 +98,33 @@
 	assert.Zero(t, second.Call.Credit)
 }
 
+// Guards against a once-only request that gets no retry credit because the
+// request that fetched its key had the same id.
+func TestKeyedSubmissionAfterKeyFetchGetsCredit(t *testing.T) {
+	e := newNode(t)
+	e.Step(start, callFrom(1, "POST", "/sign"))
+	only[engine.AnswerCaller](t, e.Step(start, engine.KeyIssued{ID: 1, Key: keyOf(t, "b")}))
+	submission := callFrom(2, "POST", "/sign")
+	submission.Key = keyOf(t, "b")
+	first := only[engine.SendCall](t, e.Step(start, submission))
+	assert.Equal(t, 1, first.Call.Credit)
+	submission.ID = 3
+	assert.Zero(t, only[engine.SendCall](t, e.Step(start, submission)).Call.Credit)
+}
+
+// keyOf returns a key that a host issued.
+func keyOf(t *testing.T, host member.HostID) string {
+	t.Helper()
+	keys, err := once.New(once.Config{
+		Host: host, Incarnation: 5, Start: start, Secret: make([]byte, once.SecretLen),
+		Nonce: func() uint64 { return 1 }, Lifetime: time.Minute, MaxKeys: 1, MaxAnswerBytes: 1,
+	})
+	require.NoError(t, err)
+	key, refusal := keys.Issue(start, "ledger", "polder")
+	require.Nil(t, refusal)
+	return key
+}
+
 // Guards against "not run" after an attempt with an unknown outcome: the
 // second host's refusal says nothing about the first.
 func TestUnknownOutcomeOutweighsLaterRefusal(t *testing.T) {
@@ -114,15 +141,8 @@
 // may have been submitted through another node.
 func TestOnlyTheOwnerSaysNotRunForAKey(t *testing.T) {
 	e := newNode(t)
-	other, err := once.New(once.Config{
-		Host: "gone", Incarnation: 9, Start: start, Secret: make([]byte, once.SecretLen),
-		Nonce: func() uint64 { return 1 }, Lifetime: time.Minute, MaxKeys: 1, MaxAnswerBytes: 1,
-	})
-	require.NoError(t, err)
-	key, refusal := other.Issue(start, "ledger", "polder")
-	require.Nil(t, refusal)
 	ev := callFrom(1, "POST", "/sign")
-	ev.Key = key
+	ev.Key = keyOf(t, "gone")
 	answer := only[engine.AnswerCaller](t, e.Step(start, ev))
 	assert.Equal(t, verdict.OwnerGone, answer.Refusal.Reason)
 	assert.Equal(t, verdict.MayHaveRun, answer.Refusal.Verdict)
