admit: keep critical calls while less important ones wait

Change: a critical call waits on until its deadline as long as a less important call waits. The new test fails without the change.

--- a/core/admit/guard_test.go
+++ b/core/admit/guard_test.go
@@ -51,6 +51,22 @@
 	return out
 }
 
+// Guards against a less important call that gets the slot of a critical one
+// which was refused only because it had waited for long.
+func TestCriticalOutlastsLessImportantInQueue(t *testing.T) {
+	g := admit.New(service(1, 0), shares("a"))
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	require.Equal(t, []int{1}, ids(g.Arrive(t0, req(1, call.Low, "a", t0)), true))
+	require.Empty(t, g.Arrive(at(5), req(2, call.Critical, "a", at(5))))
+	require.Empty(t, g.Arrive(at(60), req(3, call.Low, "a", at(60))))
+	require.Empty(t, g.Tick(at(120)), "the bound on waiting has passed for the critical call")
+	assert.Equal(t, []int{2}, ids(done(g, at(130), 1), true))
+	out := done(g, at(140), 2)
+	assert.Equal(t, []int{3}, ids(out, true))
+	require.Empty(t, g.Arrive(at(150), req(4, call.Critical, "a", at(150))))
+	assert.Equal(t, []int{4}, ids(g.Tick(at(300)), false), "alone it is bounded as before")
+}
+
 func done(g admit.Admitter, now time.Time, id int) []admit.Decision {
 	return g.Done(now, call.ID(id), admit.Outcome{Latency: cost})
 }
--- a/core/admit/place.go
+++ b/core/admit/place.go
@@ -31,6 +31,9 @@
 		return verdict.DeadlineUnmet, false
 	}
 	longest := min(g.maxWait(), time.Duration(waitShare(e.req)*float64(left)))
+	if g.keepsCritical(e) {
+		longest = left - e.cost
+	}
 	full := !g.with.Displacement && perSlot(g.queue.total, limit) > g.maxWait()
 	if full || wait > longest {
 		return verdict.QueueFull, false
@@ -65,16 +68,27 @@
 		if !e.latest.Before(now) {
 			return out
 		}
-		g.queue.remove(e)
 		reason := verdict.QueueFull
-		if now.Add(e.cost).After(e.req.Deadline) {
+		switch {
+		case now.Add(e.cost).After(e.req.Deadline):
 			reason = verdict.DeadlineUnmet
+		case g.keepsCritical(e):
+			g.queue.extend(e, e.req.Deadline.Add(-e.cost))
+			continue
 		}
+		g.queue.remove(e)
 		out = append(out, g.refuse(now, e, reason))
 	}
 	return out
 }
 
+// keepsCritical reports whether a critical call waits on beyond the bound on
+// waiting: while less important calls wait, one of them would get the slot that
+// the critical call was refused.
+func (g *guard) keepsCritical(e *entry) bool {
+	return e.req.Rank.Importance() == call.Critical && g.queue.waitsBelow(call.Critical)
+}
+
 // displace drops the lowest waiting calls while the queue is longer than its
 // bound.
 func (g *guard) displace(now time.Time, limit int, out []Decision) []Decision {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -104,6 +104,22 @@
 	heap.Remove(&q.expiry, e.index)
 }
 
+// extend lets a waiting call wait until a later time.
+func (q *queue) extend(e *entry, latest time.Time) {
+	e.latest = latest
+	heap.Fix(&q.expiry, e.index)
+}
+
+// waitsBelow reports whether a call of lower importance waits.
+func (q *queue) waitsBelow(importance call.Importance) bool {
+	for i := range int(importance) {
+		if q.cost[i] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // top returns the next call to run, or nil.
 func (q *queue) top() *entry {
 	for i := lanes - 1; i >= 0; i-- {
