--- a/node/driver/calls.go
+++ b/node/driver/calls.go
@@ -23,7 +23,7 @@
 // Call runs the request of a caller or of the local upstream. It returns nil
 // when ctx ended first. ID is assigned here.
 func (d *Driver) Call(ctx context.Context, arrived engine.CallArrived, p Payload) *engine.AnswerCaller {
-	d.inFlight.Add(1)
+	d.begin()
 	defer d.inFlight.Add(-1)
 	arrived.ID = d.newID()
 	e := &entry{
@@ -49,7 +49,7 @@
 // PeerCall runs a call from another node, or from this one. It returns nil
 // when ctx ended first.
 func (d *Driver) PeerCall(ctx context.Context, from member.HostID, c engine.PeerCall, p Payload) *engine.Reply {
-	d.inFlight.Add(1)
+	d.begin()
 	defer d.inFlight.Add(-1)
 	id := d.newID()
 	now := d.cfg.Now()
--- a/node/driver/driver.go
+++ b/node/driver/driver.go
@@ -102,6 +102,7 @@
 	workers  *workers
 	nextID   atomic.Uint64
 	inFlight atomic.Int64 // calls whose sender still waits
+	started  chan struct{}
 
 	mu      sync.Mutex
 	entries map[call.ID]*entry
@@ -117,6 +118,7 @@
 	return &Driver{
 		cfg:     cfg,
 		workers: newWorkers(),
+		started: make(chan struct{}, 1),
 		entries: make(map[call.ID]*entry),
 		hosts:   make(map[member.HostID]member.Host),
 	}
@@ -250,6 +252,23 @@
 	d.perform(t)
 }
 
+// begin counts a call.
+func (d *Driver) begin() {
+	if d.inFlight.Add(1) > 1 {
+		return
+	}
+	select {
+	case d.started <- struct{}{}:
+	default:
+	}
+}
+
+// Waiting reports whether a sender waits for a call.
+func (d *Driver) Waiting() bool { return d.inFlight.Load() > 0 }
+
+// Started receives a value when a call arrives while no sender waits.
+func (d *Driver) Started() <-chan struct{} { return d.started }
+
 // Idle reports whether no call is in flight.
 func (d *Driver) Idle() bool {
 	if d.inFlight.Load() > 0 {
--- a/node/events.go
+++ b/node/events.go
@@ -108,24 +108,42 @@
 	return p.Services[n.settings.Host.Service].ProbePath
 }
 
-// silenceChecks is the number of searches for silent connections in each tick.
-// The time between them adds to the time that a call waits before its
-// connection is replaced.
-const silenceChecks = 2
+const (
+	// silenceChecks is the number of searches for silent connections in each
+	// tick. The time between them adds to the time that a call waits before
+	// its connection is replaced.
+	silenceChecks = 2
+
+	// idleTick is the time between ticks while no sender waits. It is below
+	// pause.Threshold; each wake-up of an idle process counts against the 1.4%
+	// of a core that a node may spend on control.
+	idleTick = 250 * time.Millisecond
+)
 
 // tickLoop drives time in the engine and the search for silent connections.
 func (n *Node) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(engine.TickInterval / silenceChecks)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
 	for i := 0; ; i++ {
+		waiting := n.driver.Waiting()
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-n.driver.Started():
+		case <-timer.C:
 		}
 		n.links.Check()
-		if i%silenceChecks == 0 {
+		if i%silenceChecks == 0 || !waiting {
 			n.driver.Tick()
 		}
+		timer.Reset(n.tickAfter())
+	}
+}
+
+// tickAfter returns the time until the next search for silent connections.
+func (n *Node) tickAfter() time.Duration {
+	if n.driver.Waiting() {
+		return engine.TickInterval / silenceChecks
 	}
+	return idleTick
 }
--- a/node/telemetry/observer.go
+++ b/node/telemetry/observer.go
@@ -47,6 +47,7 @@
 	next    int
 	pending []stamped
 	dropped int64
+	wake    chan struct{} // holds a value while records may be pending
 	stop    chan struct{}
 	done    chan struct{}
 }
@@ -60,7 +61,7 @@
 // NewObserver returns an observer that logs decisions to log and must be
 // closed.
 func NewObserver(log *slog.Logger, m *Metrics) *Observer {
-	o := &Observer{Metrics: m, log: log.Handler(), stop: make(chan struct{}), done: make(chan struct{})}
+	o := &Observer{Metrics: m, log: log.Handler(), wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
 	go o.format()
 	return o
 }
@@ -85,6 +86,7 @@
 		return
 	}
 	o.pending = append(o.pending, stamped{at: now, record: r})
+	signal(o.wake)
 }
 
 // Dropped returns the number of records lost because formatting was too slow.
@@ -96,16 +98,9 @@
 
 func (o *Observer) format() {
 	defer close(o.done)
-	ticker := time.NewTicker(formatInterval)
-	defer ticker.Stop()
 	var spare []stamped
 	for {
-		stopped := false
-		select {
-		case <-o.stop:
-			stopped = true
-		case <-ticker.C:
-		}
+		stopped := collect(o.stop, o.wake, nil, formatInterval)
 		o.mu.Lock()
 		full := o.pending
 		o.pending = spare[:0]
--- a/node/telemetry/writer.go
+++ b/node/telemetry/writer.go
@@ -25,7 +25,8 @@
 	buf    []byte
 	closed bool
 
-	wake chan struct{}
+	wake chan struct{} // holds a value while bytes may be buffered
+	full chan struct{}
 	stop chan struct{}
 	done chan struct{}
 }
@@ -35,6 +36,7 @@
 	w := &Writer{
 		out:  out,
 		wake: make(chan struct{}, 1),
+		full: make(chan struct{}, 1),
 		stop: make(chan struct{}),
 		done: make(chan struct{}),
 	}
@@ -53,11 +55,9 @@
 	w.buf = append(w.buf, line...)
 	full := len(w.buf) >= flushSize
 	w.mu.Unlock()
+	signal(w.wake)
 	if full {
-		select {
-		case w.wake <- struct{}{}:
-		default:
-		}
+		signal(w.full)
 	}
 	return len(line), nil
 }
@@ -79,17 +79,9 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
 	var spare []byte
 	for {
-		stopped := false
-		select {
-		case <-w.stop:
-			stopped = true
-		case <-w.wake:
-		case <-ticker.C:
-		}
+		stopped := collect(w.stop, w.wake, w.full, flushInterval)
 		spare = w.flush(spare)
 		if stopped {
 			return
