--- a/core/admit/guard.go
+++ b/core/admit/guard.go
@@ -35,7 +35,7 @@
 	Answered(now time.Time, took, reference time.Duration)
 	Shed(now time.Time, running int)
 	Forget(now time.Time)
-	SetSlots(slots int, coldStart time.Duration)
+	SetSlots(slots int)
 }
 
 // Mechanisms are the parts of admission that can be left out, so that the
@@ -49,7 +49,7 @@
 	// Levels derives admission levels from the demand.
 	Levels bool
 	// Limit makes the limit; nil keeps to the configured slots.
-	Limit func(slots int, coldStart time.Duration) Limiter
+	Limit func(slots int) Limiter
 }
 
 // guard implements Admitter.
@@ -79,7 +79,7 @@
 // New returns an Admitter that orders its queue by importance, customer share
 // and rank, and learns the limit of its upstream.
 func New(service *policy.Service, callers map[string]*policy.Caller) Admitter {
-	learned := func(slots int, coldStart time.Duration) Limiter { return limit.New(slots, coldStart) }
+	learned := func(slots int) Limiter { return limit.New(slots) }
 	return With(Mechanisms{DeadlineDrop: true, Displacement: true, Levels: true, Limit: learned})(service, callers)
 }
 
@@ -92,12 +92,12 @@
 
 func newGuard(m Mechanisms, service *policy.Service, callers map[string]*policy.Caller) *guard {
 	if m.Limit == nil {
-		m.Limit = func(slots int, coldStart time.Duration) Limiter { return limit.Fixed(slots, coldStart) }
+		m.Limit = func(slots int) Limiter { return limit.Fixed(slots) }
 	}
 	g := &guard{
 		service: service,
 		with:    m,
-		limit:   m.Limit(service.Slots, service.ColdStart),
+		limit:   m.Limit(service.Slots),
 		running: map[call.ID]run{},
 		times:   map[string]*serviceTime{},
 	}
@@ -206,7 +206,7 @@
 // SetPolicy implements Admitter.
 func (g *guard) SetPolicy(_ time.Time, service *policy.Service, callers map[string]*policy.Caller) {
 	g.service = service
-	g.limit.SetSlots(service.Slots, service.ColdStart)
+	g.limit.SetSlots(service.Slots)
 	g.setCallers(callers)
 }
 
--- a/core/baseline/gradient.go
+++ b/core/baseline/gradient.go
@@ -33,8 +33,8 @@
 
 // Gradient returns a limiter that follows the ratio of the best latency to the
 // present one.
-func Gradient(slots int, coldStart time.Duration) admit.Limiter {
-	return &gradient{Limit: limit.Fixed(slots, coldStart), slots: float64(slots), value: float64(slots)}
+func Gradient(slots int) admit.Limiter {
+	return &gradient{Limit: limit.Fixed(slots), slots: float64(slots), value: float64(slots)}
 }
 
 // Current implements admit.Limiter.
@@ -64,8 +64,8 @@
 }
 
 // SetSlots implements admit.Limiter.
-func (g *gradient) SetSlots(slots int, coldStart time.Duration) {
-	g.Limit.SetSlots(slots, coldStart)
+func (g *gradient) SetSlots(slots int) {
+	g.Limit.SetSlots(slots)
 	g.slots = float64(slots)
 	g.value = math.Min(g.value, g.slots)
 }
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -43,8 +43,6 @@
 	// floorShare of the slots is never gone below, so that a mistake can be
 	// noticed and undone.
 	floorShare = 0.1
-	// coldShare of the slots is available at once after a start.
-	coldShare = 0.25
 	// shedStep is the decrease after the upstream refused a call for load.
 	shedStep = 0.95
 	// shedFloor is the part of the limit that one refusal leaves at least.
@@ -65,10 +63,8 @@
 // Limit is the learned limit of one upstream. It is not safe for concurrent
 // use.
 type Limit struct {
-	slots     int
-	coldStart time.Duration
-	started   time.Time
-	fixed     bool
+	slots int
+	fixed bool
 
 	limit float64
 	best  float64 // lowest time per reference time seen
@@ -90,43 +86,34 @@
 	shedUntil time.Time
 }
 
-// New returns a limit that starts at the configured slots, or ramps up to them
-// over coldStart from the first event on.
-func New(slots int, coldStart time.Duration) *Limit {
+// New returns a limit that starts at the configured slots. It does not ramp up
+// after a start: an upstream that is slow at any concurrency while it is cold
+// would lose capacity, and core/route already sends a new incarnation less.
+func New(slots int) *Limit {
 	slots = max(slots, 1)
-	return &Limit{slots: slots, coldStart: coldStart, limit: float64(slots), backoff: 1}
+	return &Limit{slots: slots, limit: float64(slots), backoff: 1}
 }
 
-// Fixed returns a limit that stays at the configured slots after the cold
-// start.
-func Fixed(slots int, coldStart time.Duration) *Limit {
-	l := New(slots, coldStart)
+// Fixed returns a limit that stays at the configured slots.
+func Fixed(slots int) *Limit {
+	l := New(slots)
 	l.fixed = true
 	return l
 }
 
 // SetSlots changes the upper bound. A limit that was at the old bound moves to
 // the new one.
-func (l *Limit) SetSlots(slots int, coldStart time.Duration) {
+func (l *Limit) SetSlots(slots int) {
 	slots = max(slots, 1)
 	if l.limit >= float64(l.slots) || l.limit > float64(slots) {
 		l.limit = float64(slots)
 	}
 	l.slots = slots
-	l.coldStart = coldStart
 }
 
 // Current returns the number of calls that may run now.
-func (l *Limit) Current(now time.Time) int {
-	if l.started.IsZero() {
-		l.started = now
-	}
-	bound := l.limit
-	if age := now.Sub(l.started); age < l.coldStart {
-		ramp := coldShare + (1-coldShare)*float64(age)/float64(l.coldStart)
-		bound = math.Min(bound, ramp*float64(l.slots))
-	}
-	return max(1, int(math.Round(bound)))
+func (l *Limit) Current(time.Time) int {
+	return max(1, int(math.Round(l.limit)))
 }
 
 // Running tells how many calls run from now on.
