--- a/bench/cmd/bench/main.go
+++ b/bench/cmd/bench/main.go
@@ -30,7 +30,7 @@
 	Deployment []string `long:"deployment" description:"only this deployment (repeatable)"`
 	Variant    []string `long:"variant" description:"only this variant (repeatable)"`
 	Policies   bool     `long:"policies" description:"measure the steps from FIFO to the product instead of the usual variants"`
-	Part       []string `long:"part" choice:"latency" choice:"control" choice:"overload" description:"only this part (repeatable)"`
+	Part       []string `long:"part" choice:"latency" choice:"control" choice:"process" choice:"overload" description:"only this part (repeatable)"`
 	Seed       uint64   `long:"seed" default:"1" description:"seed of the part control"`
 	Verbose    bool     `short:"v" long:"verbose" description:"print each run with its refusals"`
 }
@@ -80,6 +80,7 @@
 		run  func() ([]bench.Measurement, error)
 	}{
 		{partLatency, func() ([]bench.Measurement, error) { return measureLatency(ctx) }},
+		{partProcess, func() ([]bench.Measurement, error) { return measureProcesses(ctx) }},
 		{partControl, func() ([]bench.Measurement, error) { return measureControl(ctx, opt.Seed) }},
 	} {
 		if !opt.wants(part.name) {
--- a/bench/cmd/bench/parts.go
+++ b/bench/cmd/bench/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"text/tabwriter"
 	"time"
 
@@ -16,6 +17,7 @@
 const (
 	partOverload = "overload"
 	partControl  = "control"
+	partProcess  = "process"
 	partLatency  = "latency"
 )
 
@@ -29,11 +31,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("control: %w", err)
 	}
+	return figures(rows), nil
+}
+
+// measureProcesses returns what real node processes use that carry no calls.
+// The daemon is expected beside this program.
+func measureProcesses(ctx context.Context) ([]bench.Measurement, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("processes: %w", err)
+	}
+	rows, err := control.Processes(ctx, filepath.Dir(self))
+	if err != nil {
+		return nil, err
+	}
+	return figures(rows), nil
+}
+
+func figures(rows []control.Row) []bench.Measurement {
 	list := make([]bench.Measurement, 0, len(rows))
 	for _, r := range rows {
 		list = append(list, bench.Measurement(r))
 	}
-	return list, nil
+	return list
 }
 
 // measureLatency returns what two nodes add to a call on this machine.
--- /dev/null
+++ b/bench/control/process.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"toucangw.example/core/spread/spreadtest"
+	"toucangw.example/standin/platform"
+)
+
+const (
+	processNodes  = 13
+	processZones  = 3
+	listenersEach = 4 // callers, peers, egress, operator
+	settleTime    = 10 * time.Second
+	observeTime   = 20 * time.Second
+	// clockTick is the unit of processor times in /proc on Linux.
+	clockTick = 10 * time.Millisecond
+)
+
+// processSizes are the numbers of services for which real processes run.
+var processSizes = []int{50, 200, 400, 650}
+
+// Processes measures processor time and resident memory of real node processes
+// on loopback that carry no calls, at rest and at the target rate of changes.
+// bin is the directory of toucangwd. It takes about four minutes.
+func Processes(ctx context.Context, bin string) ([]Row, error) {
+	var all []*series
+	for _, rate := range []struct {
+		variant string
+		every   time.Duration
+	}{
+		{"at rest", 0},
+		{"18,000 changes a day", secondsPerChange * 1000 * time.Millisecond},
+	} {
+		cpu := &series{scenario: "node processes", variant: rate.variant, metric: "mean share of a core", unit: "%", per: "services"}
+		worst := &series{scenario: "node processes", variant: rate.variant, metric: "worst share of a core", unit: "%", per: "services"}
+		memory := &series{scenario: "node processes", variant: rate.variant, metric: "worst resident memory", unit: "MB", per: "services"}
+		for _, services := range processSizes {
+			use, err := observeProcesses(ctx, bin, services, rate.every)
+			if err != nil {
+				return nil, fmt.Errorf("processes with %d services: %w", services, err)
+			}
+			cpu.add(float64(services), use.meanCPU)
+			worst.add(float64(services), use.worstCPU)
+			memory.add(float64(services), use.worstMB)
+		}
+		all = append(all, cpu, worst, memory)
+	}
+	return flatten(all...), nil
+}
+
+// usage is what a set of processes used.
+type usage struct{ meanCPU, worstCPU, worstMB float64 }
+
+// observeProcesses runs nodes with a base of a size and publishes a change each
+// interval, or none if it is zero.
+func observeProcesses(ctx context.Context, bin string, services int, every time.Duration) (usage, error) {
+	dir, err := os.MkdirTemp("", "toucangw-control-")
+	if err != nil {
+		return usage{}, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	published := filepath.Join(dir, "published")
+	files, nodes, err := layout(dir, services)
+	if err != nil {
+		return usage{}, err
+	}
+	if err := writeAll(published, files); err != nil {
+		return usage{}, err
+	}
+	source, err := platform.New(platform.Config{Dir: published})
+	if err != nil {
+		return usage{}, err
+	}
+	server := httptest.NewServer(source.Handler())
+	defer server.Close()
+	running, err := startNodes(bin, dir, nodes, server.Listener.Addr().String())
+	defer stopNodes(running)
+	if err != nil {
+		return usage{}, err
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return usage{}, err
+	}
+	return measureUse(ctx, running, func(version int) error {
+		return writeAll(published, map[string]string{"base.toml": string(baseFile(services, version))})
+	}, every)
+}
+
+// nodeFile is the settings of one node, without the platform.
+type nodeFile struct{ id, text string }
+
+// layout returns the files to publish and the settings of the nodes.
+func layout(dir string, services int) (map[string]string, []nodeFile, error) {
+	type host struct {
+		ID      string `json:"id"`
+		Addr    string `json:"addr"`
+		Service string `json:"service"`
+		Status  string `json:"status"`
+	}
+	hosts := map[string][]host{}
+	var nodes []nodeFile
+	for i := range processNodes {
+		addrs, err := freeAddrs(listenersEach)
+		if err != nil {
+			return nil, nil, err
+		}
+		zone := spreadtest.ZoneName(i % processZones)
+		id := fmt.Sprintf("host-%d", i)
+		hosts[zone] = append(hosts[zone], host{ID: id, Addr: addrs[1], Service: "service-000", Status: "live"})
+		text := fmt.Sprintf("[host]\nid = %q\nregion = \"region-1\"\nzone = %q\n\n[listen]\ncallers = %q\npeers = %q\negress = %q\noperator = %q\n\n",
+			id, zone, addrs[0], addrs[1], addrs[2], addrs[3])
+		nodes = append(nodes, nodeFile{id: filepath.Join(dir, id+".toml"), text: text})
+	}
+	files := map[string]string{"base.toml": string(baseFile(services, 0))}
+	for zone, list := range hosts {
+		body, err := json.Marshal(map[string]any{"zone": zone, "region": "region-1", "hosts": list})
+		if err != nil {
+			return nil, nil, err
+		}
+		files["hosts/"+zone+".json"] = string(body)
+	}
+	return files, nodes, nil
+}
+
+// freeAddrs returns loopback addresses that are free now.
+func freeAddrs(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// writeAll writes files so that a reader never sees half of one.
+func writeAll(dir string, files map[string]string) error {
+	for name, body := range files {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(path+".new", []byte(body), 0o600); err != nil {
+			return err
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startNodes(bin, dir string, nodes []nodeFile, platformAddr string) ([]*exec.Cmd, error) {
+	var running []*exec.Cmd
+	for _, n := range nodes {
+		text := n.text + fmt.Sprintf("[platform]\naddresses = [%q]\n", platformAddr)
+		if err := os.WriteFile(n.id, []byte(text), 0o600); err != nil {
+			return running, err
+		}
+		cmd := exec.Command(filepath.Join(bin, "toucangwd"), "-c", n.id)
+		cmd.Dir = dir
+		if err := cmd.Start(); err != nil {
+			return running, fmt.Errorf("start node: %w", err)
+		}
+		running = append(running, cmd)
+	}
+	return running, nil
+}
+
+func stopNodes(running []*exec.Cmd) {
+	for _, cmd := range running {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, cmd := range running {
+		_ = cmd.Wait()
+	}
+}
+
+// measureUse changes the base each interval and returns what the processes used.
+func measureUse(ctx context.Context, running []*exec.Cmd, change func(version int) error, every time.Duration) (usage, error) {
+	before := make([]time.Duration, len(running))
+	for i, cmd := range running {
+		var err error
+		if before[i], err = processTime(cmd.Process.Pid); err != nil {
+			return usage{}, err
+		}
+	}
+	start := time.Now()
+	for version := 1; time.Since(start) < observeTime; version++ {
+		wait := observeTime
+		if every > 0 {
+			wait = every
+			if err := change(version); err != nil {
+				return usage{}, err
+			}
+		}
+		if err := pause(ctx, wait); err != nil {
+			return usage{}, err
+		}
+	}
+	elapsed := time.Since(start)
+	var use usage
+	for i, cmd := range running {
+		after, err := processTime(cmd.Process.Pid)
+		if err != nil {
+			return usage{}, err
+		}
+		share := 100 * float64(after-before[i]) / float64(elapsed)
+		use.meanCPU += share / float64(len(running))
+		use.worstCPU = max(use.worstCPU, share)
+		mb, err := residentMB(cmd.Process.Pid)
+		if err != nil {
+			return usage{}, err
+		}
+		use.worstMB = max(use.worstMB, mb)
+	}
+	return use, nil
+}
+
+// processTime returns the processor time that a process has used.
+func processTime(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The second field, the name, may hold spaces; user and system time are
+	// fields 14 and 15.
+	_, rest, ok := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 13 {
+		return 0, errors.New("unexpected form of /proc/PID/stat")
+	}
+	user, err1 := strconv.ParseInt(fields[11], 10, 64)
+	system, err2 := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * clockTick, errors.Join(err1, err2)
+}
+
+func residentMB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kb * 1024 / 1e6, err
+		}
+	}
+	return 0, errors.New("no VmRSS in /proc/PID/status")
+}
+
+// pause waits unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
