--- a/core/engine/entry.go
+++ b/core/engine/entry.go
@@ -224,8 +224,13 @@
 }
 
 // refuseEarly refuses a call that the levels heard from upstreams make
-// hopeless, before any work is done for it.
+// hopeless, before any work is done for it. A call with a key goes to the owner
+// of the key at any level, since only the owner can say "not run" for it; a
+// once-only call is refused when it fetches its key.
 func (e *Engine) refuseEarly(now time.Time, rec *entryCall) *verdict.Refusal {
+	if rec.req.Key != "" {
+		return nil
+	}
 	ok, retryAfter := e.pressure.Admit(now, rec.class, rec.req.Rank)
 	if ok {
 		return nil
