--- a/core/pressure/table.go
+++ b/core/pressure/table.go
@@ -20,10 +20,6 @@
 	// blend is the weight of one report. The hosts of a service report levels
 	// of their own, and a call may go to any of them.
 	blend = 0.3
-	// criticalAfter is the time for which a level must have refused critical
-	// calls before it is acted on. At the begin of a surge guards report such
-	// levels for a moment although all critical work fits.
-	criticalAfter = 150 * time.Millisecond
 	// tieBits is the part of a rank below importance and density.
 	tieBits = 12
 	tieSpan = 1 << tieBits
@@ -64,14 +60,8 @@
 	return &table{entries: map[Class]*entry{}, random: random}
 }
 
-// share returns the refused share of a class that a level amounts to. A level
-// within critical importance refuses critical calls: its guard sheds all less
-// important calls already. A level above all importances is no valid report and
-// refuses no critical call.
+// share returns the refused share of a class that a level amounts to.
 func share(class, level call.Rank) float64 {
-	if level.Importance() > call.Critical && (class<<tieBits).Importance() == call.Critical {
-		return 0
-	}
 	switch at := level >> tieBits; {
 	case at > class:
 		return 1
@@ -131,7 +121,7 @@
 	if refused == 0 || tie >= refused {
 		return true, 0
 	}
-	if rank.Importance() == call.Critical && now.Sub(e.since) < criticalAfter {
+	if rank.Importance() == call.Critical {
 		return true, 0
 	}
 	if !now.Before(e.probeAt) {
