--- a/bench/control/rows.go
+++ b/bench/control/rows.go
@@ -76,7 +76,7 @@
 func (s *series) rows() []Row {
 	var out []Row
 	for i := range s.x {
-		out = append(out, s.row(fmt.Sprintf("%s at %.4g %s", s.metric, s.x[i], s.per), s.unit, s.y[i]))
+		out = append(out, s.row(fmt.Sprintf("%s at %.5g %s", s.metric, s.x[i], s.per), s.unit, s.y[i]))
 	}
 	f := FitLine(s.x, s.y)
 	scale := s.scale
--- a/node/confsync/confsync.go
+++ b/node/confsync/confsync.go
@@ -20,7 +20,7 @@
 }
 
 // Compiler turns a snapshot into one policy per site in overlays. An error
-// means that the snapshot is not valid. It must be safe for concurrent use.
+// means that the snapshot is not valid. Calls do not overlap.
 type Compiler func(revision uint64, base []byte, overlays map[string][]byte) (map[string]*policy.Policy, error)
 
 // Config describes a node to the service.
