--- a/core/engine/attempt.go
+++ b/core/engine/attempt.go
@@ -318,26 +318,3 @@
 		return false
 	}
 }
-
-func (e *Engine) record(rec *entryCall, kind DecisionKind, reason string) Record {
-	return Record{
-		Kind:      kind,
-		ID:        rec.id,
-		RequestID: rec.req.RequestID,
-		Caller:    rec.req.Caller,
-		CallKind:  rec.req.Kind,
-		Service:   rec.req.Service,
-		Rank:      rec.req.Rank,
-		Host:      rec.host,
-		Reason:    reason,
-		Attempt:   rec.attempt,
-		Credit:    rec.pool.Credit(),
-	}
-}
-
-func (e *Engine) recordRefusal(rec *entryCall, refusal *verdict.Refusal) {
-	r := e.record(rec, DecisionRefuse, string(refusal.Reason))
-	r.Refused = refusal.Reason
-	r.Verdict = refusal.Verdict
-	e.emit(r)
-}
