Makefile: give each checkout a linter cache of its own

Cause: the shared cache of golangci-lint held results with the paths of a removed worktree; generated code could not be recognised there, so lint failed in a clean tree. Fixed waits in bench/control did not end with their context. Change: the cache lies in the checkout; the waits use pause. Conclusion: lint gives the same verdict whatever other checkouts did.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,11 @@
 fmt:
 	@out=$$(gofmt -l $(MODULES)); test -z "$$out" || { echo "gofmt would change:"; echo "$$out"; exit 1; }
 
+# The cache of the linter keeps the paths of other checkouts, also of removed
+# ones, and then reports issues of generated code there. So each checkout has
+# a cache of its own.
 lint:
-	$(GOBIN)/golangci-lint run --allow-parallel-runners $(PACKAGES)
+	GOLANGCI_LINT_CACHE=$(CURDIR)/.cache/golangci-lint $(GOBIN)/golangci-lint run --allow-parallel-runners $(PACKAGES)
 
 unit:
 	go test -count=1 -timeout 15m $(PACKAGES)
--- a/bench/control/memory.go
+++ b/bench/control/memory.go
@@ -19,8 +19,15 @@
 	"toucangw.example/standin/platform"
 )
 
-// loadTime bounds how long a node may take to load all values.
-const loadTime = 30 * time.Second
+const (
+	// loadTime bounds how long a node may take to load all values, and loadPoll
+	// is the time between looks at whether it has.
+	loadTime = 30 * time.Second
+	loadPoll = 50 * time.Millisecond
+
+	// callbackTime is left for the callbacks that follow the last value.
+	callbackTime = 200 * time.Millisecond
+)
 
 // noPeers reaches nobody.
 type noPeers struct{}
@@ -90,15 +97,18 @@
 	done := make(chan error, 1)
 	go func() { done <- service.Run(ctx) }()
 	for st := service.Status(); st.InForce == 0 || st.Hosts < hosts; st = service.Status() {
-		if ctx.Err() != nil {
+		if pause(ctx, loadPoll) != nil {
 			return 0, 0, fmt.Errorf("not loaded within %s: %+v", loadTime, st)
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
-	time.Sleep(200 * time.Millisecond) // callbacks
+	if err := pause(ctx, callbackTime); err != nil {
+		return 0, 0, err
+	}
 	after := heapInUse()
 	start := cpuTime()
-	time.Sleep(restTime)
+	if err := pause(ctx, restTime); err != nil {
+		return 0, 0, err
+	}
 	share := float64(cpuTime()-start) / float64(restTime)
 	cancel()
 	err = <-done
