--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the repository. `make setup` then `make test` suffice on a fresh
 # machine that has Go.
-MODULES := core settings peer node cmd standin bench
+MODULES := core settings peer node platform cmd standin bench
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 GOBIN := $(shell go env GOPATH)/bin
 LINT_VERSION := v2.12.0
--- /dev/null
+++ b/cmd/toucangwd/gateway.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"toucangw.example/core/retryshare"
+	"toucangw.example/node"
+	"toucangw.example/node/gateway"
+	"toucangw.example/node/storefeed"
+	"toucangw.example/node/telemetry"
+	"toucangw.example/platform"
+	"toucangw.example/settings"
+)
+
+// loadGateway reads the settings of a node that takes its routes from a store.
+func loadGateway(path string) (*settings.Gateway, error) {
+	data, err := readSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	parsed, problems := settings.ParseGateway(settings.Source{Name: path, Data: data})
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return parsed, nil
+}
+
+// serveGateway runs a node until SIGTERM or SIGINT. SIGHUP reads the settings
+// again; those that need a restart are reported.
+func serveGateway(path string, s *settings.Gateway, stdout, stderr io.Writer) int {
+	node.Tune()
+	logs, err := telemetry.NewLogs(stdout, "json", s.LogLevel.String())
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
+		return exitFailed
+	}
+	defer logs.Close()
+	logger := logs.Logger.With("node", s.Host.ID)
+	g := gateway.New(gatewayConfig(s, logger))
+	srv, err := gateway.NewServer(g, s, logger, platform.ReadinessPath, platform.MetricsPath)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
+		return exitFailed
+	}
+	logger.Info("started", "version", version(), "zone", s.Host.Zone, "service", s.Host.Service)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	feed := storefeed.New(storefeed.Config{
+		Source: platform.NewStore(s.Store.String(), logger), Sink: g, Logger: logger,
+		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall,
+	})
+	go feed.Run(ctx)
+	err = srv.Run(stopSignal(path, logs, logger))
+	if err != nil {
+		logger.Error("stopped", "error", err.Error())
+		if errors.Is(err, gateway.ErrCut) {
+			return exitCut
+		}
+		return exitFailed
+	}
+	logger.Info("stopped")
+	return exitOK
+}
+
+func gatewayConfig(s *settings.Gateway, logger *slog.Logger) gateway.Config {
+	return gateway.Config{
+		Host: s.Host.ID, Zone: s.Host.Zone, Service: s.Host.Service,
+		Upstream: s.Upstream, PeerPort: s.Listen.Peers.Port(),
+		Allowance: retryshare.Allowance{Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack},
+		Headers:   platform.Headers,
+		Logger:    logger,
+		Metrics:   gateway.NewMetrics(),
+	}
+}
+
+// stopSignal returns a channel that is closed at the first SIGTERM or SIGINT.
+func stopSignal(path string, logs *telemetry.Logs, logger *slog.Logger) <-chan struct{} {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stop := make(chan struct{})
+	go func() {
+		for sig := range signals {
+			if sig != syscall.SIGHUP {
+				close(stop)
+				return
+			}
+			reload(path, logs, logger)
+		}
+	}()
+	return stop
+}
+
+// reload takes over the settings that can change while the node runs.
+func reload(path string, logs *telemetry.Logs, logger *slog.Logger) {
+	s, err := loadGateway(path)
+	if err != nil {
+		logger.Error("settings not reloaded; the earlier ones stay in force", "error", err.Error())
+		return
+	}
+	if err := logs.SetLevel(s.LogLevel.String()); err != nil {
+		logger.Error("settings not reloaded", "error", err.Error())
+		return
+	}
+	logger.Info("settings reloaded", "log_level", s.LogLevel.String())
+}
--- a/cmd/toucangwd/main.go
+++ b/cmd/toucangwd/main.go
@@ -27,8 +27,11 @@
 	exitCut      = 3 // stopped before all calls in flight had ended
 )
 
+const modeGateway = "gateway"
+
 type options struct {
 	Config  string `short:"c" long:"config" value-name:"FILE" description:"node settings (TOML)"`
+	Mode    string `long:"mode" choice:"engine" choice:"gateway" default:"engine" description:"engine: base file and overlays; gateway: routes from a store"`
 	Check   bool   `long:"check" description:"check the settings and exit"`
 	Version bool   `long:"version" description:"print the version and exit"`
 }
@@ -46,6 +49,9 @@
 		_, _ = fmt.Fprintln(stdout, "toucangwd", version())
 		return exitOK
 	}
+	if opts.Mode == modeGateway {
+		return runGateway(opts, stdout, stderr)
+	}
 	parsed, err := load(opts.Config)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
@@ -71,7 +77,21 @@
 	return exitSettings
 }
 
-func load(path string) (*settings.Node, error) {
+// runGateway runs a node in gateway mode.
+func runGateway(opts options, stdout, stderr io.Writer) int {
+	parsed, err := loadGateway(opts.Config)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if opts.Check {
+		_, _ = fmt.Fprintln(stdout, opts.Config+": ok")
+		return exitOK
+	}
+	return serveGateway(opts.Config, parsed, stdout, stderr)
+}
+
+func readSettings(path string) ([]byte, error) {
 	if path == "" {
 		return nil, errors.New("toucangwd: -c FILE is required")
 	}
@@ -79,6 +99,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("toucangwd: read settings: %w", err)
 	}
+	return data, nil
+}
+
+func load(path string) (*settings.Node, error) {
+	data, err := readSettings(path)
+	if err != nil {
+		return nil, err
+	}
 	parsed, problems := settings.ParseNode(settings.Source{Name: path, Data: data})
 	if len(problems) > 0 {
 		return nil, problems
--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,37 @@
+package directory
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func entry(id, service, addr string, born int64) Upstream {
+	return Upstream{ID: id, Service: service, Address: netip.MustParseAddrPort(addr), Slots: 10, Born: time.UnixMilli(born)}
+}
+
+// Guards against requests for a service going to an address that a later
+// upstream of another service took over.
+func TestNewestOwnerHoldsAnAddress(t *testing.T) {
+	s := NewSnapshot(1, []Upstream{
+		entry("old", "a", "10.0.0.1:80", 100),
+		entry("new", "b", "10.0.0.1:80", 200),
+		entry("other", "a", "10.0.0.2:80", 100),
+	})
+	assert.Len(t, s.Service("a"), 1)
+	assert.Equal(t, "other", s.Service("a")[0].ID)
+	assert.Equal(t, "new", s.At("b", netip.MustParseAddrPort("10.0.0.1:80")).ID)
+	assert.Nil(t, s.At("a", netip.MustParseAddrPort("10.0.0.1:80")))
+}
+
+// Guards against losing upstreams whose entries lapsed while the store was
+// away, and against keeping them for good.
+func TestMergeKeepsLapsedEntriesOnRequest(t *testing.T) {
+	old := NewSnapshot(1, []Upstream{entry("x", "a", "10.0.0.1:80", 1), entry("y", "a", "10.0.0.2:80", 1)})
+	read := NewSnapshot(2, []Upstream{entry("x", "a", "10.0.0.1:80", 1)})
+	assert.Equal(t, 2, Merge(old, read, true).Len())
+	assert.Equal(t, 1, Merge(old, read, false).Len())
+	assert.Equal(t, 1, Merge(nil, read, true).Len())
+}
--- /dev/null
+++ b/core/outcome/outcome.go
@@ -0,0 +1,142 @@
+// Package outcome remembers, at the node that guards an upstream, what became
+// of requests that may run at most once. A node that lost its connection after
+// it had sent such a request asks for the outcome by its key: a request that
+// has not begun is fenced and never runs, one that runs is waited for, and a
+// finished one is answered again.
+package outcome
+
+import (
+	"sync"
+	"time"
+)
+
+// State is what is known of a key.
+type State uint8
+
+// States of a key.
+const (
+	// Fenced requests have not run and never will.
+	Fenced State = iota
+	Queued
+	Running
+	Done
+)
+
+const (
+	// retention is how long a key is kept after its last change. It exceeds
+	// any time for which a request can be on its way between two nodes that
+	// wait for each other.
+	retention = 30 * time.Second
+	// maxKeys bounds the memory; beyond it new keys are refused.
+	maxKeys = 50_000
+)
+
+// Ledger maps keys to answers of type A. It is safe for concurrent use.
+type Ledger[A any] struct {
+	mu    sync.Mutex
+	keys  map[string]*record[A]
+	swept time.Time
+}
+
+type record[A any] struct {
+	state   State
+	answer  A
+	changed time.Time
+	waiting []func(A)
+}
+
+// New returns an empty ledger.
+func New[A any]() *Ledger[A] { return &Ledger[A]{keys: map[string]*record[A]{}} }
+
+// Begin registers a key as queued. It reports false if the key is known, which
+// includes fenced keys, or if there is no room: the request must not run then.
+func (l *Ledger[A]) Begin(now time.Time, key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(now)
+	if l.keys[key] != nil || len(l.keys) >= maxKeys {
+		return false
+	}
+	l.keys[key] = &record[A]{state: Queued, changed: now}
+	return true
+}
+
+// Start marks a queued key as running. It reports false if the key was fenced
+// meanwhile: the request must not run then.
+func (l *Ledger[A]) Start(now time.Time, key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.keys[key]
+	if r == nil || r.state != Queued {
+		return false
+	}
+	r.state, r.changed = Running, now
+	return true
+}
+
+// Finish stores the answer of a key and hands it to those who wait for it.
+func (l *Ledger[A]) Finish(now time.Time, key string, answer A) {
+	l.mu.Lock()
+	r := l.keys[key]
+	if r == nil {
+		l.mu.Unlock()
+		return
+	}
+	waiting := r.waiting
+	r.state, r.answer, r.changed, r.waiting = Done, answer, now, nil
+	l.mu.Unlock()
+	for _, f := range waiting {
+		f(answer)
+	}
+}
+
+// Refuse marks a key that was refused before it ran: it never runs.
+func (l *Ledger[A]) Refuse(now time.Time, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.keys[key]; r != nil && r.state == Queued {
+		r.state, r.changed = Fenced, now
+	}
+}
+
+// Ask returns the state of a key after fencing it if it has not begun. For a
+// running key, deliver is called once with the answer; for a finished one, it
+// is called before Ask returns.
+func (l *Ledger[A]) Ask(now time.Time, key string, deliver func(A)) State {
+	l.mu.Lock()
+	l.sweep(now)
+	r := l.keys[key]
+	if r == nil {
+		l.keys[key] = &record[A]{state: Fenced, changed: now}
+		l.mu.Unlock()
+		return Fenced
+	}
+	r.changed = now
+	switch r.state {
+	case Queued, Fenced:
+		r.state = Fenced
+	case Running:
+		r.waiting = append(r.waiting, deliver)
+	case Done:
+		answer := r.answer
+		l.mu.Unlock()
+		deliver(answer)
+		return Done
+	}
+	state := r.state
+	l.mu.Unlock()
+	return state
+}
+
+// sweep drops old keys, at most once a second.
+func (l *Ledger[A]) sweep(now time.Time) {
+	if now.Sub(l.swept) < time.Second {
+		return
+	}
+	l.swept = now
+	for key, r := range l.keys {
+		if r.state != Running && r.state != Queued && now.Sub(r.changed) > retention {
+			delete(l.keys, key)
+		}
+	}
+}
--- /dev/null
+++ b/core/outcome/outcome_test.go
@@ -0,0 +1,57 @@
+package outcome
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var testNow = time.Unix(1_700_000_000, 0)
+
+// Guards against a request running after its sender was told that it never
+// will, in each order of request and question.
+func TestFencedKeyNeverRuns(t *testing.T) {
+	l := New[string]()
+	assert.Equal(t, Fenced, l.Ask(testNow, "early", nil), "asked before the request arrived")
+	assert.False(t, l.Begin(testNow, "early"))
+
+	assert.True(t, l.Begin(testNow, "queued"))
+	assert.Equal(t, Fenced, l.Ask(testNow, "queued", nil))
+	assert.False(t, l.Start(testNow, "queued"))
+
+	assert.True(t, l.Begin(testNow, "refused"))
+	l.Refuse(testNow, "refused")
+	assert.False(t, l.Start(testNow, "refused"))
+	assert.Equal(t, Fenced, l.Ask(testNow, "refused", nil))
+}
+
+// Guards against a finished or running action being reported as not run, and
+// against an answer that nobody gets.
+func TestAskDeliversTheAnswer(t *testing.T) {
+	l := New[string]()
+	var got []string
+	deliver := func(a string) { got = append(got, a) }
+	assert.True(t, l.Begin(testNow, "k"))
+	assert.False(t, l.Begin(testNow, "k"), "the same key twice")
+	assert.True(t, l.Start(testNow, "k"))
+	assert.Equal(t, Running, l.Ask(testNow, "k", deliver))
+	assert.Empty(t, got)
+	l.Finish(testNow, "k", "answer")
+	assert.Equal(t, Done, l.Ask(testNow, "k", deliver))
+	assert.Equal(t, []string{"answer", "answer"}, got)
+}
+
+// Guards the memory of the ledger and against dropping running keys.
+func TestSweepKeepsRunningKeys(t *testing.T) {
+	l := New[string]()
+	l.Begin(testNow, "done")
+	l.Start(testNow, "done")
+	l.Finish(testNow, "done", "x")
+	l.Begin(testNow, "running")
+	l.Start(testNow, "running")
+	later := testNow.Add(retention + 2*time.Second)
+	l.Begin(later, "other")
+	assert.Len(t, l.keys, 2)
+	assert.Equal(t, Running, l.Ask(later, "running", func(string) {}))
+}
--- /dev/null
+++ b/core/routetable/split.go
@@ -0,0 +1,53 @@
+package routetable
+
+import "sync"
+
+// splitter deals requests to targets by smooth weighted round robin: the
+// share of each target is exact over every run of total-weight requests, also
+// a short one. It is safe for concurrent use.
+type splitter struct {
+	mu      sync.Mutex
+	targets []Target
+	credit  []int
+	total   int
+}
+
+func (s *splitter) init(targets []Target) {
+	s.targets = targets
+	s.credit = make([]int, len(targets))
+	s.total = 0
+	for _, t := range targets {
+		s.total += t.Weight
+	}
+}
+
+// next returns the service of the next request.
+func (s *splitter) next() string {
+	if len(s.targets) == 1 {
+		return s.targets[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, t := range s.targets {
+		s.credit[i] += t.Weight
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= s.total
+	return s.targets[best].Service
+}
+
+// Next picks the service of the next request by the weights of the targets.
+func (r *Route) Next() string { return r.split.next() }
+
+// Serves reports whether the route may send requests to a service.
+func (r *Route) Serves(service string) bool {
+	for _, t := range r.Targets {
+		if t.Service == service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/node/gateway/entry.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"toucangw.example/core/balance"
+	"toucangw.example/core/directory"
+	"toucangw.example/core/lineage"
+	"toucangw.example/core/routetable"
+	"toucangw.example/core/verdict"
+	"toucangw.example/node/h1"
+)
+
+const (
+	// maxPlacements bounds the nodes that are asked for a slot.
+	maxPlacements = 4
+	// noRouteYet and noUpstreamYet are the times after which a client may
+	// come back when the node does not know enough.
+	noRouteYet    = 300 * time.Millisecond
+	noUpstreamYet = 400 * time.Millisecond
+)
+
+// request is one request of a local client or of the local upstream.
+type request struct {
+	x        *h1.Exchange
+	id       string
+	route    *routetable.Route
+	service  string
+	parent   *lineage.Parent // nil for a request of a client
+	priority int
+	root     string // route at the root of the call tree
+	deadline time.Time
+	attempts int // sent to upstreams
+	placed   int // nodes asked
+	tried    map[string]bool
+	inputs   placement
+}
+
+// placement holds the inputs of the last routing decision.
+type placement struct {
+	upstream string
+	score    float64
+	among    int
+}
+
+// ServeClient answers a request that begins on this host.
+func (g *Gateway) ServeClient(x *h1.Exchange) {
+	g.inflight.Add(1)
+	defer g.inflight.Add(-1)
+	q := &request{x: x}
+	if refusal, status := g.accept(q); refusal != nil {
+		g.refuse(q, status, refusal)
+		return
+	}
+	f, err := g.prepare(q)
+	if err != nil {
+		if x.Context().Err() == nil {
+			g.refuse(q, http.StatusBadRequest, verdict.Refuse(verdict.BadRequest, err.Error()))
+		}
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.Context(), q.deadline.Add(answerGrace))
+	defer cancel()
+	g.budget.Request(time.Now(), q.service)
+	r := g.serve(ctx, q, f)
+	g.deliver(q, r)
+}
+
+// accept finds the route of a request and its deadline.
+func (g *Gateway) accept(q *request) (*verdict.Refusal, int) {
+	routes := g.routes.Load()
+	if routes == nil || g.hosts.Load() == nil {
+		r := verdict.Refuse(verdict.Starting, "no configuration yet")
+		r.RetryAfter = noRouteYet
+		return r, http.StatusServiceUnavailable
+	}
+	req := q.x.Request
+	q.id = req.Header.Get(g.cfg.Headers.RequestID)
+	q.route = routes.Match(req.Host, req.RequestURI)
+	if q.route == nil {
+		return verdict.Refuse(verdict.UnknownKind, "no route"), http.StatusNotFound
+	}
+	if q.id == "" {
+		return verdict.Refuse(verdict.BadRequest, "no request id"), http.StatusBadRequest
+	}
+	if req.ContentLength > g.maxBody() {
+		return verdict.Refuse(verdict.BadRequest, "body is too large"), http.StatusRequestEntityTooLarge
+	}
+	q.service = q.route.Next()
+	g.place(q)
+	return nil, 0
+}
+
+// place derives deadline and rank of a request.
+func (g *Gateway) place(q *request) {
+	q.priority, q.root = q.route.Priority, q.route.Name
+	left := q.route.Timeout
+	ms, err := strconv.ParseInt(q.x.Request.Header.Get(g.cfg.Headers.Deadline), 10, 64)
+	if err == nil && ms >= 0 {
+		client := time.Duration(ms) * time.Millisecond
+		if g.fromUpstream(q.x) {
+			q.parent = g.running.Find(q.x.Arrived.Add(client))
+		}
+		left = min(left, client)
+	}
+	q.deadline = q.x.Arrived.Add(left)
+	if q.parent != nil {
+		q.priority, q.root = q.parent.Priority, q.parent.Route
+	}
+}
+
+// fromUpstream reports whether a request may be a call of the local upstream,
+// which uses the address of the host.
+func (g *Gateway) fromUpstream(x *h1.Exchange) bool {
+	host, _, _ := strings.Cut(x.Remote(), ":")
+	return host == g.cfg.Upstream.Addr().String()
+}
+
+// prepare reads the body and builds the attempt.
+func (g *Gateway) prepare(q *request) (*forward, error) {
+	header := q.x.Request.Header
+	names := &g.cfg.Headers
+	for _, name := range []string{names.RequestID, names.Deadline, names.ExpectedInstance, names.CallerService, forwardHeader, replyHeader} {
+		header.Del(name)
+	}
+	f := &forward{
+		method: q.x.Request.Method, target: q.x.Request.RequestURI, host: q.x.Request.Host,
+		header: header, requestID: q.id, deadline: q.deadline,
+		meta: forwardMeta{
+			Service: q.service, Origin: g.cfg.Service, Route: q.root, Priority: q.priority, Call: q.parent != nil,
+		},
+	}
+	if q.parent != nil {
+		f.meta.Repeat = q.parent.Repeat
+	}
+	if c := g.routes.Load(); c != nil {
+		f.meta.Version = c.Version
+	}
+	if err := f.readBody(q.x); err != nil {
+		return nil, err
+	}
+	h1.EndToEnd(header)
+	return f, nil
+}
+
+// serve makes attempts until one ends the request.
+func (g *Gateway) serve(ctx context.Context, q *request, f *forward) *reply {
+	q.tried = map[string]bool{}
+	for {
+		r := g.attempt(ctx, q, f)
+		if r.answer != nil || !g.again(ctx, q, f, r) {
+			return r
+		}
+	}
+}
+
+// attempt chooses an upstream and sends the request to it.
+func (g *Gateway) attempt(ctx context.Context, q *request, f *forward) *reply {
+	now := time.Now()
+	list := g.hosts.Load().Service(q.service)
+	choice := g.balancer.Pick(now, list, func(u *directory.Upstream) bool { return q.tried[u.ID] })
+	if choice.Upstream == nil {
+		r := verdict.Refuse(verdict.NoUpstream, "no upstream takes requests")
+		r.RetryAfter = noUpstreamYet
+		return refused(r)
+	}
+	u := choice.Upstream
+	q.tried[u.ID] = true
+	q.placed++
+	q.inputs = placement{upstream: u.ID, score: choice.Score, among: choice.Among}
+	if !q.route.Kind.Idempotent() {
+		f.meta.Key = g.keys.make()
+	}
+	r := g.send(ctx, u, f)
+	g.balancer.Ended(time.Now(), u.ID, resultOf(q, r))
+	if r.meta.Arrived || r.answer != nil || r.meta.verdict() != verdict.NotRun {
+		q.attempts++
+	}
+	return r
+}
+
+func resultOf(q *request, r *reply) balance.Result {
+	out := balance.Result{Report: r.meta.report(), Route: q.route.Name}
+	if r.answer != nil {
+		out.Service = time.Duration(r.meta.ServiceUS) * time.Microsecond
+		return out
+	}
+	switch r.meta.Reason {
+	case verdict.OwnerGone, verdict.UpstreamFailed:
+		out.Unreachable = true
+	case verdict.ConnectionLost:
+		out.Unreachable = out.Report == nil
+		out.Failed = true
+	case verdict.Leaving, verdict.WrongService:
+		out.Leaving = true
+	case verdict.UpstreamShed, verdict.NotWhole:
+		out.Failed = true
+	case verdict.DeadlinePassed:
+		out.Failed = true
+	case verdict.QueueFull, verdict.DeadlineUnmet, verdict.Cancelled, verdict.KeyFenced:
+		out.Refused = true
+	}
+	return out
+}
+
+// again reports whether a failed attempt is followed by another.
+func (g *Gateway) again(ctx context.Context, q *request, f *forward, r *reply) bool {
+	now := time.Now()
+	if ctx.Err() != nil || q.deadline.Sub(now) < minLeft || f.stream != nil {
+		return false
+	}
+	notRun := r.meta.verdict() == verdict.NotRun
+	if !notRun && !q.route.Kind.Idempotent() {
+		return false
+	}
+	switch r.meta.Reason {
+	case verdict.NoUpstream, verdict.Cancelled, verdict.DeadlinePassed:
+		return false
+	}
+	if notRun && !r.meta.Arrived {
+		return q.placed < maxPlacements
+	}
+	if q.attempts >= q.route.MaxAttempts {
+		return false
+	}
+	if !g.budget.Repeat(now, q.service, g.hosts.Load().Len()) {
+		return false
+	}
+	f.meta.Repeat = true
+	return true
+}
+
+// deliver writes the end of a request to its client.
+func (g *Gateway) deliver(q *request, r *reply) {
+	if r.answer == nil {
+		refusal := r.refusal()
+		g.refuse(q, statusOf(refusal), refusal)
+		return
+	}
+	err := q.x.Respond(r.answer)
+	if r.finish != nil {
+		r.finish(err == nil)
+	}
+	g.log.served(q, r, err)
+	g.cfg.Metrics.served(q, r.answer.Status)
+}
+
+// statusOf chooses the status of a request that has no answer.
+func statusOf(r *verdict.Refusal) int {
+	switch {
+	case r.Reason == verdict.DeadlinePassed:
+		return http.StatusGatewayTimeout
+	case r.Verdict != verdict.NotRun:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// refuse answers a request in place of an upstream.
+func (g *Gateway) refuse(q *request, status int, r *verdict.Refusal) {
+	a := h1.NewAnswer(status, nil, nil)
+	if q.id != "" {
+		a.Header.Set(g.cfg.Headers.RequestID, q.id)
+	}
+	if status == http.StatusServiceUnavailable {
+		a.Header.Set("Retry-After", retrySeconds(max(r.RetryAfter, minRetryAfter)))
+	}
+	err := q.x.Respond(a)
+	g.log.refused(q, status, r, err)
+	g.cfg.Metrics.refused(q, status, r)
+}
+
+// minRetryAfter is the shortest advice to come back.
+const minRetryAfter = 50 * time.Millisecond
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,191 @@
+// Package gateway is the data path of a node whose routes are published in a
+// store: it takes the requests of the clients and of the upstream of its host,
+// passes each to the node beside the upstream that is to run it, and guards
+// the upstream of its own host.
+package gateway
+
+import (
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucangw.example/core/balance"
+	"toucangw.example/core/directory"
+	"toucangw.example/core/gate"
+	"toucangw.example/core/lineage"
+	"toucangw.example/core/outcome"
+	"toucangw.example/core/retryshare"
+	"toucangw.example/core/routetable"
+	"toucangw.example/node/h1"
+)
+
+// HeaderNames are the names of the headers that clients and upstreams use.
+type HeaderNames struct {
+	// RequestID identifies one attempt of a client; upstreams echo it.
+	RequestID string
+	// Deadline is the time left for a request in milliseconds.
+	Deadline string
+	// Signature is set on each answer of an upstream to a request.
+	Signature string
+	// ExpectedInstance names the upstream that is to run a request.
+	ExpectedInstance string
+	// NotExecuted marks an answer of an upstream that did not run the request.
+	NotExecuted string
+	// CallerService names the service of the host where a request began.
+	CallerService string
+}
+
+// Config of a Gateway.
+type Config struct {
+	Host     string
+	Zone     string         // availability zone
+	Service  string         // service of the local upstream
+	Upstream netip.AddrPort // the local upstream
+	// PeerPort is the port of the peer listener, the same on all hosts.
+	PeerPort  uint16
+	Allowance retryshare.Allowance
+	Headers   HeaderNames
+	Logger    *slog.Logger
+	Metrics   *Metrics
+}
+
+// Gateway is one node's data path. It is safe for concurrent use.
+type Gateway struct {
+	cfg Config
+
+	routes   atomic.Pointer[routetable.Config]
+	hosts    atomic.Pointer[directory.Snapshot]
+	own      atomic.Pointer[directory.Own]
+	draining atomic.Bool
+
+	balancer *balance.Balancer
+	budget   *retryshare.Budget
+	running  lineage.Register // requests at the local upstream
+	ledger   *outcome.Ledger[*reply]
+
+	gateMu  sync.Mutex
+	gate    *gate.Gate
+	tickets map[*gate.Entry]*ticket
+
+	peers    *h1.Pool // to other nodes
+	upstream *h1.Pool // to the local upstream
+	keys     keySource
+	log      *decisionLog
+
+	inflight atomic.Int64
+}
+
+const (
+	peerDialTimeout     = 400 * time.Millisecond
+	peerIdle            = 60 * time.Second
+	upstreamDialTimeout = 1500 * time.Millisecond
+	// upstreamIdle is used where an upstream states no idle timeout.
+	upstreamIdle = 4 * time.Second
+	// initialSlots is the limit until the entry of the upstream is known.
+	initialSlots = 16
+)
+
+// New returns a gateway without routes and upstreams.
+func New(cfg Config) *Gateway {
+	return &Gateway{
+		cfg:      cfg,
+		balancer: balance.New(cfg.Zone),
+		budget:   retryshare.New(cfg.Allowance),
+		ledger:   outcome.New[*reply](),
+		gate:     gate.New(initialSlots),
+		tickets:  map[*gate.Entry]*ticket{},
+		peers:    h1.NewPool(h1.Timeouts{Dial: peerDialTimeout, Idle: peerIdle}),
+		upstream: h1.NewPool(h1.Timeouts{Dial: upstreamDialTimeout, Idle: upstreamIdle}),
+		keys:     newKeySource(cfg.Host),
+		log:      newDecisionLog(cfg.Logger),
+	}
+}
+
+// SetRoutes puts a configuration in force. An older one than that in force is
+// ignored.
+func (g *Gateway) SetRoutes(c *routetable.Config) {
+	for {
+		old := g.routes.Load()
+		if old != nil && old.Version >= c.Version {
+			return
+		}
+		if g.routes.CompareAndSwap(old, c) {
+			g.cfg.Metrics.version.Set(float64(c.Version))
+			return
+		}
+	}
+}
+
+// SetHosts replaces the view of the upstreams.
+func (g *Gateway) SetHosts(s *directory.Snapshot) { g.hosts.Store(s) }
+
+// SetOwn takes what is known of the local upstream.
+func (g *Gateway) SetOwn(s directory.Own) {
+	g.own.Store(&s)
+	if s.Slots <= 0 {
+		return
+	}
+	g.withGate(func(now time.Time) []gate.Decision { return g.gate.SetLimit(now, limitOf(s.Slots)) })
+}
+
+// limitOf returns the number of requests to run at once. Upstreams may slow
+// down when nearly all of their slots are taken, which costs more than the
+// last slots bring.
+func limitOf(slots int) int { return max(1, slots*94/100) }
+
+// Ready reports whether the node takes new work.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.routes.Load() != nil && g.hosts.Load() != nil
+}
+
+// Drain refuses new work for the local upstream. Requests in progress end, and
+// those of local clients are still served.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (g *Gateway) InFlight() int64 { return g.inflight.Load() }
+
+// Limits returns the limits in force for clients.
+func (g *Gateway) Limits() h1.Limits {
+	l := h1.Limits{MaxHeader: defaultMaxHeader, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	c := g.routes.Load()
+	if c == nil {
+		return l
+	}
+	if n := c.Limits.MaxHeaderBytes; n > 0 {
+		l.MaxHeader = n
+	}
+	if t := c.Limits.HeaderTimeout; t > 0 {
+		l.HeaderTimeout = t
+	}
+	if t := c.Limits.IdleTimeout; t > 0 {
+		l.IdleTimeout = t
+	}
+	return l
+}
+
+// Limits that hold until a configuration is known.
+const (
+	defaultMaxHeader     = 16 << 10
+	defaultMaxBody       = 64 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+)
+
+func (g *Gateway) maxBody() int64 {
+	if c := g.routes.Load(); c != nil && c.Limits.MaxBodyBytes > 0 {
+		return c.Limits.MaxBodyBytes
+	}
+	return defaultMaxBody
+}
+
+// Close closes idle connections.
+func (g *Gateway) Close() {
+	g.peers.Close()
+	g.upstream.Close()
+}
+
+// StoreCall counts a call to the store in the metrics.
+func (g *Gateway) StoreCall(call string, err error) { g.cfg.Metrics.StoreCall(call, err) }
--- /dev/null
+++ b/node/gateway/guard.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"toucangw.example/core/gate"
+	"toucangw.example/core/lineage"
+	"toucangw.example/core/verdict"
+	"toucangw.example/node/h1"
+)
+
+const (
+	// wholeAnswer is the largest answer that is held until it is complete. A
+	// broken one can be asked for again, and the slot is free while a slow
+	// client reads.
+	wholeAnswer = 256 << 10
+	// minLeft is the shortest time left with which a request is sent.
+	minLeft = 3 * time.Millisecond
+	// answerGrace is the time beyond a deadline in which the upstream's own
+	// answer to it is awaited.
+	answerGrace = 60 * time.Millisecond
+)
+
+// guard runs a request at the local upstream when a slot is free.
+func (g *Gateway) guard(ctx context.Context, f *forward) *reply {
+	r := g.guarded(ctx, f)
+	load := g.load()
+	r.meta.Running, r.meta.Queued, r.meta.Limit = load.Running, load.Queued, load.Limit
+	if c := g.routes.Load(); c != nil {
+		r.meta.Version = c.Version
+	}
+	return r
+}
+
+func (g *Gateway) guarded(ctx context.Context, f *forward) *reply {
+	if refusal := g.refuseNew(f); refusal != nil {
+		return refused(refusal)
+	}
+	key := f.meta.Key
+	if key != "" && !g.ledger.Begin(time.Now(), key) {
+		return failed(verdict.MayHaveRun, verdict.KeyFenced, "the key was used before")
+	}
+	entry := &gate.Entry{
+		Rank:     gate.RankOf(f.meta.Priority, f.meta.Call),
+		Deadline: f.deadline,
+		MaxWait:  time.Duration(f.meta.WaitMS) * time.Millisecond,
+	}
+	if refusal := g.acquire(ctx, entry); refusal != nil {
+		if key != "" {
+			g.ledger.Refuse(time.Now(), key)
+		}
+		return refused(refusal)
+	}
+	if key != "" {
+		if !g.ledger.Start(time.Now(), key) {
+			g.release(entry, 0)
+			return failed(verdict.NotRun, verdict.KeyFenced, "its sender has given it up")
+		}
+		return g.runOnce(f, entry)
+	}
+	return g.run(ctx, f, entry)
+}
+
+// refuseNew returns why the local upstream takes no new request.
+func (g *Gateway) refuseNew(f *forward) *verdict.Refusal {
+	if g.draining.Load() {
+		return verdict.Refuse(verdict.Leaving, "node stops")
+	}
+	if f.meta.Service != g.cfg.Service {
+		return verdict.Refuse(verdict.WrongService, "this host runs "+g.cfg.Service)
+	}
+	own := g.own.Load()
+	if own == nil {
+		return nil
+	}
+	switch {
+	case own.Past[f.meta.Upstream]:
+		return verdict.Refuse(verdict.Leaving, "upstream is gone")
+	case own.Leaving && own.ID == f.meta.Upstream:
+		return verdict.Refuse(verdict.Leaving, "upstream leaves")
+	}
+	return nil
+}
+
+// runOnce runs a request that may run at most once. It goes on if the sender
+// is lost: its answer is kept for the question after it.
+func (g *Gateway) runOnce(f *forward, entry *gate.Entry) *reply {
+	r := g.run(context.Background(), f, entry)
+	kept := *r
+	if r.answer != nil && r.answer.Stream != nil {
+		// The stream can be read once only.
+		kept.answer, kept.finish = nil, nil
+		kept.meta.Verdict, kept.meta.Reason = verdict.Run.String(), verdict.ConnectionLost
+	}
+	g.ledger.Finish(time.Now(), f.meta.Key, &kept)
+	return r
+}
+
+// run sends a request to the local upstream and frees its slot.
+func (g *Gateway) run(ctx context.Context, f *forward, entry *gate.Entry) *reply {
+	started := time.Now()
+	left := f.deadline.Sub(started)
+	if left < minLeft {
+		g.release(entry, 0)
+		return failed(verdict.NotRun, verdict.DeadlineUnmet, "no time left")
+	}
+	parent := &lineage.Parent{Deadline: f.deadline, Priority: f.meta.Priority, Route: f.meta.Route, Repeat: f.meta.Repeat}
+	g.running.Add(parent)
+	end := func(service time.Duration) {
+		g.running.Remove(parent)
+		g.release(entry, service)
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(answerGrace))
+	response, err := g.upstream.Do(ctx, g.cfg.Upstream.String(), g.upstreamCall(f, left))
+	if err != nil {
+		cancel()
+		end(0)
+		return callFailed(err)
+	}
+	r := g.readAnswer(response)
+	r.meta.WaitedUS = entry.Waited().Microseconds()
+	r.meta.Arrived = true
+	if r.answer == nil || r.answer.Stream == nil {
+		cancel()
+		r.meta.ServiceUS = time.Since(started).Microseconds()
+		end(serviceTime(r, started))
+		return r
+	}
+	r.meta.ServiceUS = time.Since(started).Microseconds()
+	r.finish = func(whole bool) {
+		if whole {
+			response.Finish()
+		} else {
+			response.Close()
+		}
+		cancel()
+		end(0)
+	}
+	return r
+}
+
+// serviceTime is the time of an attempt that ran; zero for others.
+func serviceTime(r *reply, started time.Time) time.Duration {
+	if r.answer == nil {
+		return 0
+	}
+	return time.Since(started)
+}
+
+func (g *Gateway) upstreamCall(f *forward, left time.Duration) *h1.Call {
+	names := &g.cfg.Headers
+	return &h1.Call{
+		Method: f.method, Target: f.target, Host: f.host, Header: f.header,
+		Extra: []h1.Field{
+			{Name: names.RequestID, Value: f.requestID},
+			{Name: names.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
+			{Name: names.ExpectedInstance, Value: f.meta.Upstream},
+			{Name: names.CallerService, Value: f.meta.Origin},
+		},
+		Body: f.body, Stream: f.stream, Length: f.length,
+		Accept: func(r *http.Response) bool { return r.Header.Get(names.RequestID) == f.requestID },
+	}
+}
+
+// callFailed classifies an attempt without a response.
+func callFailed(err error) *reply {
+	var call *h1.CallError
+	if errors.As(err, &call) && !call.Sent {
+		return failed(verdict.NotRun, verdict.UpstreamFailed, err.Error())
+	}
+	reason := verdict.ConnectionLost
+	switch {
+	case errors.Is(err, context.Canceled):
+		reason = verdict.Cancelled
+	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
+		reason = verdict.DeadlinePassed
+	}
+	r := failed(verdict.MayHaveRun, reason, err.Error())
+	r.meta.Arrived = true
+	return r
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// readAnswer takes the response of the upstream, whole if it is not too large.
+func (g *Gateway) readAnswer(response *h1.Reply) *reply {
+	names := &g.cfg.Headers
+	header := response.Header
+	if header.Get(names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
+		_, _, _ = response.ReadBody(wholeAnswer)
+		response.Close()
+		r := failed(verdict.NotRun, verdict.UpstreamShed, "upstream answered "+strconv.Itoa(response.Status))
+		if response.Status == http.StatusMisdirectedRequest {
+			r.meta.Reason = verdict.WrongService
+		}
+		r.meta.RetryMS = retryAfter(header).Milliseconds()
+		return r
+	}
+	if success(response.Status) && (header.Get(names.Signature) == "" || header.Get("Content-Encoding") != "") {
+		response.Close()
+		return failed(verdict.MayHaveRun, verdict.NotWhole, "answer is not the upstream's")
+	}
+	body, whole, err := response.ReadBody(wholeAnswer)
+	if err != nil {
+		return failed(verdict.Run, verdict.NotWhole, "answer broke off: "+err.Error())
+	}
+	h1.EndToEnd(header)
+	answer := &h1.Answer{Status: response.Status, Header: header, Body: body, Length: response.Length}
+	if whole {
+		answer.Length = int64(len(body))
+	} else {
+		answer.Stream = response.Stream()
+	}
+	return &reply{answer: answer}
+}
+
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// retryAfter reads the advice of an upstream; zero if there is none.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/node/gateway/metrics.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"toucangw.example/core/verdict"
+)
+
+// Metrics are the counters and histograms of a gateway. Labels have bounded
+// sets: kinds, statuses and reasons.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	version  prometheus.Gauge
+	store    *prometheus.CounterVec
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "toucangw_gateway_requests_total",
+			Help: "Requests that began on this host, by kind, status and, if refused, reason.",
+		}, []string{"kind", "status", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "toucangw_gateway_request_duration_seconds",
+			Help:    "Time from the request's head to the end of its answer.",
+			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+		}, []string{"kind"}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "toucangw_gateway_config_version",
+			Help: "Version of the configuration in force.",
+		}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "toucangw_gateway_store_calls_total",
+			Help: "Calls to the store, by call and outcome.",
+		}, []string{"call", "outcome"}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, m.version, m.store)
+	return m
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
+
+// StoreCall counts a call to the store.
+func (m *Metrics) StoreCall(call string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.store.WithLabelValues(call, outcome).Inc()
+}
+
+func kindOf(q *request) string {
+	if q.route == nil {
+		return "none"
+	}
+	return q.route.Kind.String()
+}
+
+func (m *Metrics) served(q *request, status int) {
+	m.requests.WithLabelValues(kindOf(q), strconv.Itoa(status), "").Inc()
+	m.latency.WithLabelValues(kindOf(q)).Observe(time.Since(q.x.Arrived).Seconds())
+}
+
+func (m *Metrics) refused(q *request, status int, r *verdict.Refusal) {
+	m.requests.WithLabelValues(kindOf(q), strconv.Itoa(status), string(r.Reason)).Inc()
+}
--- /dev/null
+++ b/node/gateway/server.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"toucangw.example/node/h1"
+	"toucangw.example/settings"
+)
+
+// ErrCut is returned if requests were still in progress at the end of the
+// grace period.
+var ErrCut = errors.New("stopped with requests in progress")
+
+const (
+	// cutMargin is left of the grace period to end in order.
+	cutMargin = 250 * time.Millisecond
+	// peerIdleTimeout is longer than peerIdle, so that the node that opened a
+	// connection closes it.
+	peerIdleTimeout = 2 * peerIdle
+	peerMaxHeader   = 16<<10 + 512
+	idleCheck       = 20 * time.Millisecond
+)
+
+// Server runs the listeners of a gateway.
+type Server struct {
+	gateway   *Gateway
+	settings  *settings.Gateway
+	logger    *slog.Logger
+	callers   *h1.Server
+	peers     *h1.Server
+	readiness *http.Server
+	metrics   *http.Server
+	listeners []net.Listener
+	failed    chan error
+}
+
+// NewServer opens the listeners. Paths are those of the readiness check and
+// the metrics.
+func NewServer(g *Gateway, s *settings.Gateway, logger *slog.Logger, readinessPath, metricsPath string) (*Server, error) {
+	srv := &Server{
+		gateway: g, settings: s, logger: logger, failed: make(chan error, 4),
+		callers: h1.NewServer(g.ServeClient, g.Limits),
+		peers: h1.NewServer(g.ServePeer, func() h1.Limits {
+			return h1.Limits{MaxHeader: peerMaxHeader, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: peerIdleTimeout}
+		}),
+		readiness: &http.Server{Handler: pathHandler(readinessPath, g.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout},
+		metrics:   &http.Server{Handler: pathHandler(metricsPath, g.cfg.Metrics.Handler().ServeHTTP), ReadHeaderTimeout: defaultHeaderTimeout},
+	}
+	if err := srv.listen(); err != nil {
+		for _, l := range srv.listeners {
+			_ = l.Close()
+		}
+		return nil, err
+	}
+	return srv, nil
+}
+
+func pathHandler(path string, h http.HandlerFunc) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, h)
+	return mux
+}
+
+func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) listen() error {
+	l := s.settings.Listen
+	for _, open := range []struct {
+		name, address string
+		wanted        bool
+		serve         func(net.Listener) error
+	}{
+		{"callers", l.Callers.String(), true, s.callers.Serve},
+		{"peers", l.Peers.String(), true, s.peers.Serve},
+		{"readiness", l.Readiness.String(), true, s.readiness.Serve},
+		{"metrics", l.Metrics.String(), l.Metrics.IsValid(), s.metrics.Serve},
+	} {
+		if !open.wanted {
+			continue
+		}
+		lis, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return fmt.Errorf("listen.%s: %w", open.name, err)
+		}
+		s.listeners = append(s.listeners, lis)
+		go func() {
+			err := open.serve(lis)
+			if !errors.Is(err, h1.ErrServerClosed) && !errors.Is(err, http.ErrServerClosed) {
+				s.failed <- fmt.Errorf("listen.%s: %w", open.name, err)
+			}
+		}()
+	}
+	return nil
+}
+
+// Run serves until stop is closed and then ends in order: readiness fails at
+// once, requests of clients are served until they have had time to notice, and
+// those in progress end within the grace period.
+func (s *Server) Run(stop <-chan struct{}) error {
+	select {
+	case err := <-s.failed:
+		return err
+	case <-stop:
+	}
+	started := time.Now()
+	s.gateway.Drain()
+	s.callers.Drain()
+	s.peers.Drain()
+	s.logger.Info("stopping", "in_flight", s.gateway.InFlight())
+	announced := time.NewTimer(s.settings.Drain.Announce)
+	defer announced.Stop()
+	<-announced.C
+	s.callers.CloseListener()
+	err := s.awaitEnd(started.Add(s.settings.Drain.Grace - cutMargin))
+	s.peers.Close()
+	s.callers.Close()
+	_ = s.readiness.Close()
+	_ = s.metrics.Close()
+	s.gateway.Close()
+	return err
+}
+
+// awaitEnd waits until no request is in progress.
+func (s *Server) awaitEnd(deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	check := time.NewTicker(idleCheck)
+	defer check.Stop()
+	for s.gateway.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ErrCut
+		case <-check.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/h1/head.go
@@ -0,0 +1,99 @@
+package h1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// headError is a request head that is answered with a status of its own.
+type headError struct {
+	status int
+	detail string
+}
+
+func (e *headError) Error() string { return fmt.Sprintf("%d: %s", e.status, e.detail) }
+
+var headEnd = []byte("\r\n\r\n")
+
+// readHead reads one request head of at most limit bytes. Forms that two
+// parsers may understand differently are refused.
+func readHead(br *bufio.Reader, limit int) (*http.Request, error) {
+	head, err := peekHead(br, limit)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(head); err != nil {
+		return nil, err
+	}
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, &headError{http.StatusBadRequest, err.Error()}
+	}
+	return req, nil
+}
+
+// peekHead returns the bytes of the head without consuming them.
+func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
+	for need := 1; ; {
+		if _, err := br.Peek(need); err != nil {
+			if errors.Is(err, io.EOF) && br.Buffered() > 0 {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		seen, _ := br.Peek(br.Buffered())
+		if i := bytes.Index(seen, headEnd); i >= 0 {
+			if i+len(headEnd) > limit {
+				break
+			}
+			return seen[:i+len(headEnd)], nil
+		}
+		if len(seen) >= min(limit, br.Size()) {
+			break
+		}
+		need = len(seen) + 1
+	}
+	return nil, &headError{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("head exceeds %d bytes", limit)}
+}
+
+var (
+	lineEnd   = []byte("\r\n")
+	lengthKey = []byte("content-length")
+	codingKey = []byte("transfer-encoding")
+)
+
+// checkHead refuses folded lines, bare line feeds, spaces before a colon, and
+// two statements of the body's length.
+func checkHead(head []byte) error {
+	lines := bytes.Split(head[:len(head)-len(headEnd)], lineEnd)
+	lengths, codings := 0, 0
+	for i, line := range lines {
+		if bytes.IndexByte(line, '\n') >= 0 || bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+			return &headError{http.StatusBadRequest, "control character in the head"}
+		}
+		if i == 0 {
+			continue
+		}
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return &headError{http.StatusBadRequest, "folded header line"}
+		}
+		colon := bytes.IndexByte(line, ':')
+		if colon <= 0 || line[colon-1] == ' ' || line[colon-1] == '\t' {
+			return &headError{http.StatusBadRequest, "malformed header line"}
+		}
+		switch name := line[:colon]; {
+		case bytes.EqualFold(name, lengthKey):
+			lengths++
+		case bytes.EqualFold(name, codingKey):
+			codings++
+		}
+	}
+	if lengths+codings > 1 {
+		return &headError{http.StatusBadRequest, "conflicting lengths of the body"}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/h1/message.go
@@ -0,0 +1,158 @@
+package h1
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Answer is a response to be written.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body is the whole body, or its begin if Stream is set.
+	Body []byte
+	// Stream is the rest of a body that was too large to be held.
+	Stream io.Reader
+	// Length is the length of body and stream together; -1 if it is unknown.
+	Length int64
+}
+
+// NewAnswer returns an answer with a whole body.
+func NewAnswer(status int, header http.Header, body []byte) *Answer {
+	if header == nil {
+		header = http.Header{}
+	}
+	return &Answer{Status: status, Header: header, Body: body, Length: int64(len(body))}
+}
+
+// connectionHeaders concern one connection only and are never passed on.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// EndToEnd removes the headers that concern one connection only, those named
+// by the Connection header included.
+func EndToEnd(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range connectionHeaders {
+		delete(h, name)
+	}
+}
+
+// framing headers are written from the length of a body.
+func writeHeader(w *bufio.Writer, h http.Header) {
+	for name, values := range h {
+		if name == "Content-Length" || connectionHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			_, _ = w.WriteString(name)
+			_, _ = w.WriteString(": ")
+			_, _ = w.WriteString(v)
+			_, _ = w.WriteString("\r\n")
+		}
+	}
+}
+
+func writeField(w *bufio.Writer, name, value string) {
+	_, _ = w.WriteString(name)
+	_, _ = w.WriteString(": ")
+	_, _ = w.WriteString(value)
+	_, _ = w.WriteString("\r\n")
+}
+
+// writeLength announces a body of a length; -1 stands for chunks.
+func writeLength(w *bufio.Writer, length int64) {
+	if length < 0 {
+		writeField(w, "Transfer-Encoding", "chunked")
+		return
+	}
+	writeField(w, "Content-Length", strconv.FormatInt(length, 10))
+}
+
+// errBodyLength reports a body that is not as long as announced.
+var errBodyLength = errors.New("body is not as long as announced")
+
+// writeBody writes a body of a length; -1 stands for chunks. A body that ends
+// early fails, so that the message never looks complete.
+func writeBody(w *bufio.Writer, begin []byte, rest io.Reader, length int64) error {
+	if length < 0 {
+		return writeChunks(w, begin, rest)
+	}
+	n, err := w.Write(begin)
+	if err != nil {
+		return err
+	}
+	if rest != nil {
+		copied, err := io.Copy(w, io.LimitReader(rest, length-int64(n)))
+		if err != nil {
+			return err
+		}
+		n += int(copied)
+	}
+	if int64(n) != length {
+		return fmt.Errorf("%w: %d of %d bytes", errBodyLength, n, length)
+	}
+	return nil
+}
+
+const chunkSize = 32 << 10
+
+func writeChunks(w *bufio.Writer, begin []byte, rest io.Reader) error {
+	if err := writeChunk(w, begin); err != nil {
+		return err
+	}
+	if rest != nil {
+		buf := make([]byte, chunkSize)
+		for {
+			n, err := rest.Read(buf)
+			if werr := writeChunk(w, buf[:n]); werr != nil {
+				return werr
+			}
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				return err
+			}
+			if err := w.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+	_, err := w.WriteString("0\r\n\r\n")
+	return err
+}
+
+func writeChunk(w *bufio.Writer, data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	_, _ = w.WriteString(strconv.FormatInt(int64(len(data)), 16))
+	_, _ = w.WriteString("\r\n")
+	_, _ = w.Write(data)
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// bodyAllowed reports whether a response with a status has a body.
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/node/h1/server.go
@@ -0,0 +1,142 @@
+package h1
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	MaxHeader     int // bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Handler answers one exchange by Respond or Abort. It runs on a goroutine of
+// its own.
+type Handler func(*Exchange)
+
+// Server accepts connections and reads requests from them.
+type Server struct {
+	handler Handler
+	limits  func() Limits
+
+	draining atomic.Bool
+	open     sync.WaitGroup
+
+	mu       sync.Mutex
+	conns    map[*serverConn]struct{}
+	listener net.Listener
+	closed   bool
+}
+
+// NewServer returns a server. Limits is asked for each request.
+func NewServer(handler Handler, limits func() Limits) *Server {
+	return &Server{handler: handler, limits: limits, conns: map[*serverConn]struct{}{}}
+}
+
+// ErrServerClosed is returned by Serve after CloseListener.
+var ErrServerClosed = errors.New("server closed")
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(lis net.Listener) error {
+	s.mu.Lock()
+	s.listener = lis
+	s.mu.Unlock()
+	for {
+		nc, err := lis.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return ErrServerClosed
+			}
+			var netErr net.Error
+			if errors.As(err, &netErr) && !errors.Is(err, net.ErrClosed) {
+				// Out of descriptors: waiting connections are accepted once
+				// others have ended.
+				pause := time.NewTimer(acceptPause)
+				<-pause.C
+				continue
+			}
+			return err
+		}
+		tune(nc)
+		c := newServerConn(s, nc)
+		if !s.add(c) {
+			_ = nc.Close()
+			continue
+		}
+		s.open.Go(c.serve)
+	}
+}
+
+const acceptPause = 5 * time.Millisecond
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) add(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Drain makes each further answer close its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseListener stops accepting and closes connections that carry no request.
+func (s *Server) CloseListener() {
+	s.mu.Lock()
+	s.closed = true
+	lis := s.listener
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	s.draining.Store(true)
+	if lis != nil {
+		_ = lis.Close()
+	}
+	for _, c := range conns {
+		c.closeIdle()
+	}
+}
+
+// Wait returns when all connections have ended, or with the error of ctx.
+func (s *Server) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close closes all connections at once.
+func (s *Server) Close() {
+	s.CloseListener()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.nc.Close()
+	}
+}
--- /dev/null
+++ b/node/storefeed/feed.go
@@ -0,0 +1,391 @@
+package storefeed
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"toucangw.example/core/directory"
+	"toucangw.example/core/routetable"
+)
+
+const (
+	// callTimeout bounds a read; a connection that has gone silent is noticed
+	// by it.
+	callTimeout = 1200 * time.Millisecond
+	// configWait is the length of one watch of the configuration.
+	configWait = 20 * time.Second
+	// configPoll is the interval of stale reads beside the watch, which a
+	// silent connection or a cut watch cannot delay.
+	configPoll = time.Second
+	// ownWait is the length of one watch of the local upstream's entry, which
+	// changes with each heartbeat. A watch that hears nothing for longer is
+	// followed by a read.
+	ownWait = 1800 * time.Millisecond
+	// listPoll is the interval of reads of all entries.
+	listPoll = 700 * time.Millisecond
+	// startPoll is the interval of reads until the first has succeeded.
+	startPoll = 100 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed call.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+	// returnTime is how long after an outage of the store entries that lapsed
+	// meanwhile may still come back.
+	returnTime = 2500 * time.Millisecond
+	// outage is the time without a successful read after which entries may
+	// have lapsed.
+	outage = 2 * time.Second
+)
+
+// Config of a Feed.
+type Config struct {
+	Source  Source
+	Sink    Sink
+	Service string         // service of the local upstream
+	Address netip.AddrPort // of the local upstream
+	Logger  *slog.Logger
+	// Count is told of each call.
+	Count func(call string, err error)
+}
+
+// Feed runs the loops that read the store.
+type Feed struct {
+	cfg Config
+
+	mu       sync.Mutex
+	list     *directory.Snapshot
+	own      directory.Own
+	past     map[string]bool
+	lastRead time.Time // last successful read of the list
+	regained time.Time // end of the last outage
+	up       bool
+	version  uint64
+
+	found chan string // id of the local upstream, when it changes
+}
+
+// New returns a feed that Run starts.
+func New(cfg Config) *Feed {
+	return &Feed{cfg: cfg, past: map[string]bool{}, found: make(chan string, 1)}
+}
+
+// Run reads the store until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { f.watchConfig(ctx) })
+	loops.Go(func() { f.pollConfig(ctx) })
+	loops.Go(func() { f.pollList(ctx) })
+	loops.Go(func() { f.watchOwn(ctx) })
+	loops.Wait()
+}
+
+// call runs one call to the store with a time limit and counts it.
+func (f *Feed) call(ctx context.Context, name string, limit time.Duration, run func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := run(ctx)
+	if errors.Is(err, ErrNotFound) || errors.Is(err, ErrHistoryGone) {
+		f.cfg.Count(name, nil)
+		return err
+	}
+	f.cfg.Count(name, err)
+	f.dependency(err)
+	return err
+}
+
+// dependency logs the loss and the return of the store.
+func (f *Feed) dependency(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		if f.up {
+			f.cfg.Logger.Warn("store lost", "error", err.Error())
+		}
+		f.up = false
+		return
+	}
+	if !f.up {
+		f.cfg.Logger.Info("store reached")
+	}
+	f.up = true
+}
+
+// pause waits for about d, or until ctx ends, which it reports.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(time.Duration(float64(d) * (0.75 + 0.5*rand.Float64())))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+type backoff time.Duration
+
+func (b *backoff) next() time.Duration {
+	*b = min(max(2**b, backoff(firstBackoff)), backoff(maxBackoff))
+	return time.Duration(*b)
+}
+
+func (b *backoff) reset() { *b = 0 }
+
+// adopt puts a configuration in force unless it is not newer.
+func (f *Feed) adopt(c *routetable.Config, from string) {
+	f.mu.Lock()
+	newer := c.Version > f.version
+	if newer {
+		f.cfg.Logger.Info("configuration adopted", "version", c.Version, "before", f.version, "source", from,
+			"routes", len(c.Routes()))
+		f.version = c.Version
+	}
+	f.mu.Unlock()
+	if newer {
+		f.cfg.Sink.SetRoutes(c)
+	}
+}
+
+// watchConfig follows the configuration without a gap.
+func (f *Feed) watchConfig(ctx context.Context) {
+	var after uint64
+	var wait backoff
+	for ctx.Err() == nil {
+		err := f.configOnce(ctx, &after)
+		switch {
+		case err == nil:
+			wait.reset()
+		case errors.Is(err, ErrNotFound):
+			after = 0
+			pause(ctx, startPoll)
+		default:
+			after = 0
+			pause(ctx, wait.next())
+		}
+	}
+}
+
+// configOnce reads the configuration if the last revision is unknown, and
+// waits for the next one otherwise.
+func (f *Feed) configOnce(ctx context.Context, after *uint64) error {
+	if *after == 0 {
+		return f.call(ctx, "config", callTimeout, func(ctx context.Context) error {
+			c, at, err := f.cfg.Source.Config(ctx, false)
+			if err == nil {
+				f.adopt(c, "read")
+				*after = at
+			}
+			return err
+		})
+	}
+	return f.call(ctx, "config-watch", configWait+callTimeout, func(ctx context.Context) error {
+		c, at, err := f.cfg.Source.WatchConfig(ctx, *after, configWait)
+		if err != nil {
+			return err
+		}
+		*after = max(*after, at)
+		if c != nil {
+			f.adopt(c, "watch")
+		}
+		return nil
+	})
+}
+
+// pollConfig reads the configuration beside the watch.
+func (f *Feed) pollConfig(ctx context.Context) {
+	for pause(ctx, configPoll) {
+		// Failures are counted and logged by call; the next poll follows.
+		_ = f.call(ctx, "config-stale", callTimeout, func(ctx context.Context) error {
+			c, _, err := f.cfg.Source.Config(ctx, true)
+			if err == nil {
+				f.adopt(c, "stale read")
+			}
+			return err
+		})
+	}
+}
+
+// pollList keeps the view of all upstreams.
+func (f *Feed) pollList(ctx context.Context) {
+	interval := startPoll
+	stale := false
+	for ctx.Err() == nil {
+		var read *directory.Snapshot
+		err := f.call(ctx, "upstreams", callTimeout, func(ctx context.Context) error {
+			var err error
+			read, err = f.cfg.Source.Upstreams(ctx, stale)
+			return err
+		})
+		if err == nil && read.Len() > 0 {
+			f.takeList(read)
+			interval, stale = listPoll, true
+		}
+		pause(ctx, interval)
+	}
+}
+
+// takeList merges a read into the view.
+func (f *Feed) takeList(read *directory.Snapshot) {
+	now := time.Now()
+	f.mu.Lock()
+	if !f.lastRead.IsZero() && now.Sub(f.lastRead) > outage {
+		f.regained = now
+	}
+	f.lastRead = now
+	if f.list != nil && read.Revision < f.list.Revision {
+		f.mu.Unlock()
+		return // a stale read of an older state
+	}
+	keep := !f.regained.IsZero() && now.Sub(f.regained) < returnTime
+	f.logChanges(f.list, read)
+	f.list = directory.Merge(f.list, read, keep)
+	list := f.list
+	own := f.findOwn(list)
+	f.mu.Unlock()
+	f.cfg.Sink.SetHosts(list)
+	if own != nil {
+		select {
+		case f.found <- own.ID:
+		default:
+		}
+	}
+}
+
+// logChanges writes a line for each upstream that came, left or changed its
+// state.
+func (f *Feed) logChanges(old, read *directory.Snapshot) {
+	if old == nil {
+		f.cfg.Logger.Info("upstreams read", "upstreams", read.Len(), "revision", read.Revision)
+		return
+	}
+	for _, u := range read.All() {
+		before := old.Get(u.ID)
+		if before == nil {
+			f.cfg.Logger.Info("upstream found", "upstream", u.ID, "service", u.Service, "address", u.Address.String(), "revision", read.Revision)
+		} else if before.State != u.State {
+			f.cfg.Logger.Info("upstream state changed", "upstream", u.ID, "draining", u.State == directory.Draining, "revision", read.Revision)
+		}
+	}
+	for _, u := range old.All() {
+		if read.Get(u.ID) == nil {
+			f.cfg.Logger.Info("upstream missing", "upstream", u.ID, "service", u.Service, "revision", read.Revision)
+		}
+	}
+}
+
+// findOwn returns the entry of the local upstream if it is another one than
+// before.
+func (f *Feed) findOwn(list *directory.Snapshot) *directory.Upstream {
+	u := list.At(f.cfg.Service, f.cfg.Address)
+	if u == nil || u.ID == f.own.ID {
+		return nil
+	}
+	return u
+}
+
+// watchOwn follows the entry of the local upstream.
+func (f *Feed) watchOwn(ctx context.Context) {
+	var id string
+	var after uint64
+	var wait backoff
+	for ctx.Err() == nil {
+		id, after = f.current(ctx, id, after)
+		if id == "" {
+			continue
+		}
+		change, err := f.ownOnce(ctx, id, after)
+		switch {
+		case err == nil:
+			wait.reset()
+			after = change.Revision
+			f.takeOwn(id, change)
+		case errors.Is(err, ErrHistoryGone):
+			after = 0
+		case errors.Is(err, ErrNotFound):
+			after = 0
+			f.takeOwn(id, Change{Gone: true})
+			pause(ctx, startPoll)
+		default:
+			after = 0
+			pause(ctx, wait.next())
+		}
+	}
+}
+
+// current returns the id to watch: that of a newer upstream if one was found.
+// Without any it waits.
+func (f *Feed) current(ctx context.Context, id string, after uint64) (string, uint64) {
+	if id != "" {
+		select {
+		case next := <-f.found:
+			return next, 0
+		default:
+			return id, after
+		}
+	}
+	select {
+	case next := <-f.found:
+		return next, 0
+	case <-ctx.Done():
+		return "", 0
+	}
+}
+
+func (f *Feed) ownOnce(ctx context.Context, id string, after uint64) (Change, error) {
+	var change Change
+	if after == 0 {
+		err := f.call(ctx, "upstream", callTimeout, func(ctx context.Context) error {
+			u, at, err := f.cfg.Source.Upstream(ctx, id)
+			change = Change{Upstream: u, Revision: at}
+			return err
+		})
+		return change, err
+	}
+	err := f.call(ctx, "upstream-watch", ownWait+callTimeout/2, func(ctx context.Context) error {
+		var err error
+		change, err = f.cfg.Source.WatchUpstream(ctx, id, after, ownWait)
+		return err
+	})
+	if err == nil && change.Upstream == nil && !change.Gone {
+		// No heartbeat: the watch may be deaf, so the entry is read.
+		change.Revision = 0
+	}
+	return change, err
+}
+
+// takeOwn passes on the state of the local upstream.
+func (f *Feed) takeOwn(id string, change Change) {
+	if change.Upstream == nil && !change.Gone {
+		return
+	}
+	f.mu.Lock()
+	if change.Gone && time.Since(f.regained) < returnTime {
+		f.mu.Unlock()
+		return // it lapsed while the store was away, and may be back
+	}
+	before := f.own
+	if before.ID != "" && before.ID != id {
+		f.past[before.ID] = true
+	}
+	own := directory.Own{ID: id, Slots: before.Slots, Leaving: change.Gone}
+	if u := change.Upstream; u != nil {
+		own.Slots, own.Leaving = u.Slots, u.State == directory.Draining
+	}
+	changed := before.ID != own.ID || before.Leaving != own.Leaving || before.Slots != own.Slots
+	delete(f.past, id) // an upstream may start again under its id
+	own.Past = make(map[string]bool, len(f.past))
+	for p := range f.past {
+		own.Past[p] = true
+	}
+	f.own = own
+	f.mu.Unlock()
+	if changed {
+		f.cfg.Logger.Info("local upstream", "upstream", id, "leaving", own.Leaving, "gone", change.Gone, "slots", own.Slots,
+			"revision", change.Revision)
+		f.cfg.Sink.SetOwn(own)
+	}
+}
