storefeed: keep the watch's revision without events; take newer versions from nodes

Change: a watch without events does not move the revision. The fleet makes two linearizable reads a second beside its watches, and a node that sees a newer version on a request or reply fetches it from the node that has it.

--- a/cmd/toucangwd/gateway.go
+++ b/cmd/toucangwd/gateway.go
@@ -43,7 +43,14 @@
 	}
 	defer logs.Close()
 	logger := logs.Logger.With("node", s.Host.ID)
-	g := gateway.New(gatewayConfig(s, logger))
+	var feed *storefeed.Feed
+	cfg := gatewayConfig(s, logger)
+	cfg.OnNewer = func(version uint64, peer string) { feed.Hint(version, peer) }
+	g := gateway.New(cfg)
+	feed = storefeed.New(storefeed.Config{
+		Source: platform.NewStore(s.Store.String(), logger), Sink: g, Logger: logger,
+		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall, FromPeer: g.PeerConfig,
+	})
 	srv, err := gateway.NewServer(g, s, logger, platform.ReadinessPath, platform.MetricsPath)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
@@ -52,10 +59,6 @@
 	logger.Info("started", "version", version(), "zone", s.Host.Zone, "service", s.Host.Service)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	feed := storefeed.New(storefeed.Config{
-		Source: platform.NewStore(s.Store.String(), logger), Sink: g, Logger: logger,
-		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall,
-	})
 	go feed.Run(ctx)
 	err = srv.Run(stopSignal(path, logs, logger))
 	if err != nil {
--- a/core/routetable/config.go
+++ b/core/routetable/config.go
@@ -79,6 +79,9 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	// Document is the text from which the configuration was read, so that a
+	// node can hand it on to another.
+	Document []byte
 	hosts    map[string][]*Route // longest prefix first
 	routes   []*Route
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -49,6 +49,8 @@
 	Headers   HeaderNames
 	Logger    *slog.Logger
 	Metrics   *Metrics
+	// OnNewer is told that a node has a newer configuration. It must not block.
+	OnNewer func(version uint64, peer string)
 }
 
 // Gateway is one node's data path. It is safe for concurrent use.
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -22,6 +22,10 @@
 	replyHeader   = "Toucangw-Reply"
 	// outcomePath asks for the outcome of a request by its key.
 	outcomePath = "/toucangw/outcome"
+	// configPath asks for the configuration document of a node.
+	configPath = "/toucangw/config"
+	// maxDocument is the largest value of the store.
+	maxDocument = 1 << 20
 )
 
 // forward is one attempt at one upstream.
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -65,6 +66,9 @@
 		return g.peerFailed(ctx, peer, err)
 	}
 	r, err = g.readReply(response)
+	if err == nil {
+		g.compareVersion(r.meta.Version, peer)
+	}
 	if err != nil {
 		cancel()
 		r = failed(verdict.MayHaveRun, verdict.ConnectionLost, err.Error())
@@ -176,6 +180,11 @@
 		_ = x.Respond(h1.NewAnswer(http.StatusBadRequest, nil, nil))
 		return
 	}
+	if x.Request.RequestURI == configPath && meta.Service == "" {
+		g.respondConfig(x)
+		return
+	}
+	g.compareVersion(meta.Version, g.peerOf(x))
 	deadline := x.Arrived.Add(time.Duration(meta.LeftMS) * time.Millisecond)
 	if x.Request.RequestURI == outcomePath && meta.Service == "" {
 		g.respondPeer(x, g.outcome(x.Context(), meta.Key, deadline))
@@ -259,3 +268,50 @@
 func retrySeconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
+
+// compareVersion reports a node with a newer configuration.
+func (g *Gateway) compareVersion(version uint64, peer string) {
+	c := g.routes.Load()
+	if g.cfg.OnNewer != nil && version > 0 && (c == nil || version > c.Version) {
+		g.cfg.OnNewer(version, peer)
+	}
+}
+
+// peerOf is the peer listener of the node that sent a request.
+func (g *Gateway) peerOf(x *h1.Exchange) string {
+	host, _, err := net.SplitHostPort(x.Remote())
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(int(g.cfg.PeerPort)))
+}
+
+// respondConfig hands the configuration in force on to another node.
+func (g *Gateway) respondConfig(x *h1.Exchange) {
+	c := g.routes.Load()
+	if c == nil {
+		_ = x.Respond(h1.NewAnswer(http.StatusNotFound, nil, nil))
+		return
+	}
+	_ = x.Respond(h1.NewAnswer(http.StatusOK, nil, c.Document))
+}
+
+// PeerConfig asks another node for its configuration document.
+func (g *Gateway) PeerConfig(ctx context.Context, peer string) ([]byte, error) {
+	response, err := g.peers.Do(ctx, peer, &h1.Call{
+		Method: http.MethodGet, Target: configPath, Host: peer,
+		Extra: []h1.Field{{Name: forwardHeader, Value: encode(&forwardMeta{})}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	body, whole, err := response.ReadBody(maxDocument)
+	if err != nil {
+		return nil, err
+	}
+	if !whole || response.Status != http.StatusOK {
+		response.Close()
+		return nil, fmt.Errorf("status %d, %d bytes", response.Status, len(body))
+	}
+	return body, nil
+}
--- a/node/storefeed/feed.go
+++ b/node/storefeed/feed.go
@@ -50,6 +50,14 @@
 	Logger  *slog.Logger
 	// Count is told of each call.
 	Count func(call string, err error)
+	// FromPeer asks another node for its configuration document.
+	FromPeer func(ctx context.Context, peer string) ([]byte, error)
+}
+
+// hint tells that a node has a newer configuration.
+type hint struct {
+	version uint64
+	peer    string
 }
 
 // Feed runs the loops that read the store.
@@ -66,11 +74,12 @@
 	version  uint64
 
 	found chan string // id of the local upstream, when it changes
+	hints chan hint
 }
 
 // New returns a feed that Run starts.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, past: map[string]bool{}, found: make(chan string, 1)}
+	return &Feed{cfg: cfg, past: map[string]bool{}, found: make(chan string, 1), hints: make(chan hint, 1)}
 }
 
 // Run reads the store until ctx ends.
@@ -78,6 +87,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { f.watchConfig(ctx) })
 	loops.Go(func() { f.pollConfig(ctx) })
+	loops.Go(func() { f.followHints(ctx) })
 	loops.Go(func() { f.pollList(ctx) })
 	loops.Go(func() { f.watchOwn(ctx) })
 	loops.Wait()
@@ -187,28 +197,106 @@
 		if err != nil {
 			return err
 		}
-		*after = max(*after, at)
-		if c != nil {
-			f.adopt(c, "watch")
+		if c == nil {
+			// The revision is kept: a watch that was deaf for a while must
+			// not skip what it missed.
+			return nil
 		}
+		*after = max(*after, at)
+		f.adopt(c, "watch")
 		return nil
 	})
 }
 
-// pollConfig reads the configuration beside the watch.
+// pollConfig reads the configuration beside the watch: often with stale reads,
+// and now and then with a linearizable one. The fleet together makes about
+// fleetReads of those a second, whatever its size; the other nodes hear of a
+// newer version through the traffic between nodes.
 func (f *Feed) pollConfig(ctx context.Context) {
+	fresh := time.Now()
 	for pause(ctx, configPoll) {
+		stale := time.Since(fresh) < f.freshInterval()
+		name := "config-stale"
+		if !stale {
+			fresh, name = time.Now(), "config"
+		}
 		// Failures are counted and logged by call; the next poll follows.
-		_ = f.call(ctx, "config-stale", callTimeout, func(ctx context.Context) error {
-			c, _, err := f.cfg.Source.Config(ctx, true)
+		_ = f.call(ctx, name, callTimeout, func(ctx context.Context) error {
+			c, _, err := f.cfg.Source.Config(ctx, stale)
 			if err == nil {
-				f.adopt(c, "stale read")
+				f.adopt(c, name)
 			}
 			return err
 		})
 	}
 }
 
+// fleetReads is the number of linearizable reads of the configuration that all
+// nodes together make in a second beside their watches.
+const fleetReads = 2
+
+func (f *Feed) freshInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.list == nil {
+		return configPoll
+	}
+	return time.Duration(f.list.Len()) * time.Second / fleetReads
+}
+
+// Hint tells that another node has a version of the configuration. It never
+// blocks.
+func (f *Feed) Hint(version uint64, peer string) {
+	select {
+	case f.hints <- hint{version: version, peer: peer}:
+	default:
+	}
+}
+
+// followHints fetches newer versions from the nodes that have them, and from
+// the store if they do not answer.
+func (f *Feed) followHints(ctx context.Context) {
+	for {
+		var h hint
+		select {
+		case <-ctx.Done():
+			return
+		case h = <-f.hints:
+		}
+		if f.behind(h.version) && !f.fetch(ctx, h.peer) {
+			_ = f.call(ctx, "config", callTimeout, func(ctx context.Context) error {
+				c, _, err := f.cfg.Source.Config(ctx, false)
+				if err == nil {
+					f.adopt(c, "read")
+				}
+				return err
+			})
+		}
+	}
+}
+
+func (f *Feed) behind(version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return version > f.version
+}
+
+// fetch takes the configuration of another node over.
+func (f *Feed) fetch(ctx context.Context, peer string) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	document, err := f.cfg.FromPeer(ctx, peer)
+	if err == nil {
+		var c *routetable.Config
+		if c, err = f.cfg.Source.Decode(document); err == nil {
+			f.adopt(c, "node "+peer)
+			return true
+		}
+	}
+	f.cfg.Logger.Warn("configuration not fetched from a node", "peer", peer, "error", err.Error())
+	return false
+}
+
 // pollList keeps the view of all upstreams.
 func (f *Feed) pollList(ctx context.Context) {
 	interval := startPoll
--- a/node/storefeed/source.go
+++ b/node/storefeed/source.go
@@ -31,6 +31,8 @@
 	// WatchConfig waits for a configuration after a revision. The
 	// configuration is nil if there is none within wait.
 	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (*routetable.Config, uint64, error)
+	// Decode reads a configuration document that another node handed on.
+	Decode(document []byte) (*routetable.Config, error)
 	// Upstreams reads all entries.
 	Upstreams(ctx context.Context, stale bool) (*directory.Snapshot, error)
 	// Upstream reads one entry and the revision of the store; ErrNotFound if
