gateway: start only the share of root requests that the whole call tree can serve

Change: core/rootshare. Each gate estimates the demand per route of a client before refusals and states the share that fits, important routes first; the shares travel back on replies, and the node where a request begins starts that share. core/lineage tells called routes from those of clients and ranks calls whose own limit is shorter than their parent's.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -24,6 +24,9 @@
 	// Repeat is set for a run that is not the first of its request, and for
 	// all calls below one.
 	Repeat bool
+	// Started is the probability with which requests of the root's route are
+	// started.
+	Started float64
 
 	place int
 }
@@ -72,13 +75,15 @@
 	return best
 }
 
-// MostUrgent returns the running request with the highest priority, or nil.
-func (r *Register) MostUrgent() *Parent {
+// MostUrgent returns the most important running request that outlives a
+// deadline, or nil. A call whose own time limit is shorter than that of its
+// parent matches no deadline.
+func (r *Register) MostUrgent(deadline time.Time) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *Parent
 	for _, p := range r.running {
-		if best == nil || p.Priority < best.Priority {
+		if p.Deadline.After(deadline) && (best == nil || p.Priority < best.Priority) {
 			best = p
 		}
 	}
@@ -91,3 +96,50 @@
 	defer r.mu.Unlock()
 	return len(r.running)
 }
+
+// Calls learns which routes are called by upstreams: nearly all requests on
+// such a route have a parent, while requests of clients match one only by
+// chance. It is safe for concurrent use.
+type Calls struct {
+	mu     sync.Mutex
+	routes map[string]*callRate
+}
+
+type callRate struct {
+	matched float64
+	seen    int
+}
+
+const (
+	// callWeight is the weight of one request in the rate of a route.
+	callWeight = 0.06
+	// callShare of the requests of a route have a parent if upstreams call it.
+	callShare = 0.6
+	// callSamples is the number of requests before the rate is used.
+	callSamples = 12
+)
+
+// Observe counts a request of a route and returns whether the route is called
+// by upstreams.
+func (c *Calls) Observe(route string, matched bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.routes == nil {
+		c.routes = map[string]*callRate{}
+	}
+	r := c.routes[route]
+	if r == nil {
+		r = &callRate{matched: 0.5}
+		c.routes[route] = r
+	}
+	value := 0.0
+	if matched {
+		value = 1
+	}
+	r.matched += callWeight * (value - r.matched)
+	r.seen++
+	if r.seen < callSamples {
+		return matched
+	}
+	return r.matched > callShare
+}
--- /dev/null
+++ b/core/rootshare/rootshare_test.go
@@ -0,0 +1,135 @@
+package rootshare
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var testNow = time.Unix(1_700_000_000, 0)
+
+// load plays arrivals of two routes at a gate: each request of a route makes
+// calls that hold a slot for a time.
+type load struct {
+	route    string
+	priority int
+	perTick  int // calls per 10 ms before refusals
+	held     time.Duration
+}
+
+func play(e *Estimator, shares map[string]float64, loads []load, from time.Time, ticks int) time.Time {
+	now := from
+	credit := map[string]float64{}
+	for range ticks {
+		now = now.Add(10 * time.Millisecond)
+		for _, l := range loads {
+			share, ok := shares[l.route]
+			if !ok {
+				share = 1
+			}
+			credit[l.route] += share * float64(l.perTick)
+			for credit[l.route] >= 1 {
+				credit[l.route]--
+				e.Arrive(now, l.route, l.priority, share)
+				e.Ended(l.route, l.held)
+			}
+		}
+	}
+	return now
+}
+
+func asMap(shares []Share) map[string]float64 {
+	m := map[string]float64{}
+	for _, s := range shares {
+		m[s.Route] = s.Value
+	}
+	return m
+}
+
+// Guards the order under overload: the more important route is started whole
+// and the other one gets what is left, also once refusals reduce the arrivals.
+func TestCapacityGoesToImportantRoutesFirst(t *testing.T) {
+	e := NewEstimator()
+	// 100 slots: signoff wants 60, read wants 80.
+	loads := []load{
+		{"signoff", 0, 15, 40 * time.Millisecond},
+		{"read", 2, 20, 40 * time.Millisecond},
+	}
+	shares := map[string]float64{}
+	now := testNow
+	for range 20 {
+		now = play(e, shares, loads, now, 20)
+		shares = asMap(e.Shares(now, 100))
+	}
+	require.Contains(t, shares, "read")
+	assert.NotContains(t, shares, "signoff")
+	assert.InDelta(t, (92.0-60)/80, shares["read"], 0.06)
+}
+
+// Guards against routes without trouble being restricted, and against a
+// restriction that outlives the overload.
+func TestNoRestrictionWithoutOverload(t *testing.T) {
+	e := NewEstimator()
+	over := []load{{"read", 2, 60, 40 * time.Millisecond}}
+	calm := []load{{"read", 2, 10, 40 * time.Millisecond}}
+	now := play(e, nil, calm, testNow, 100)
+	assert.Empty(t, e.Shares(now, 100))
+	now = play(e, nil, over, now, 100)
+	assert.NotEmpty(t, e.Shares(now, 100))
+	now = play(e, nil, calm, now, 300)
+	for _, s := range e.Shares(now, 100) {
+		assert.Equal(t, 1.0, s.Value)
+	}
+}
+
+// Guards against starving the least important route.
+func TestMinShareRemains(t *testing.T) {
+	e := NewEstimator()
+	now := play(e, nil, []load{
+		{"signoff", 0, 60, 40 * time.Millisecond},
+		{"read", 2, 20, 40 * time.Millisecond},
+	}, testNow, 200)
+	assert.Equal(t, MinShare, asMap(e.Shares(now, 100))["read"])
+}
+
+// Guards the share of started requests and the use of the most restricted
+// service of a tree.
+func TestTableStartsSmallestShare(t *testing.T) {
+	tab := NewTable()
+	tab.Hear(testNow, Stated{Service: "ledger", Route: "read", Value: 0.8})
+	tab.Hear(testNow, Stated{Service: "quality", Route: "read", Value: 0.4, Age: 20 * time.Millisecond})
+	started := 0
+	for range 100 {
+		if _, ok := tab.Start(testNow, "read"); ok {
+			started++
+		}
+	}
+	assert.Equal(t, 40, started)
+	_, ok := tab.Start(testNow, "other")
+	assert.True(t, ok)
+}
+
+// Guards against a share that nobody states any more holding for ever.
+func TestShareOpensWithoutNews(t *testing.T) {
+	tab := NewTable()
+	tab.Hear(testNow, Stated{Service: "quality", Route: "read", Value: 0.2})
+	assert.Equal(t, 0.2, tab.Share(testNow.Add(lifetime), "read"))
+	mid := tab.Share(testNow.Add(lifetime+opening/2), "read")
+	assert.InDelta(t, 0.6, mid, 0.01)
+	assert.Equal(t, 1.0, tab.Share(testNow.Add(lifetime+opening), "read"))
+}
+
+// Guards against second-hand news replacing fresher ones.
+func TestOlderNewsIsIgnored(t *testing.T) {
+	tab := NewTable()
+	tab.Hear(testNow, Stated{Service: "quality", Route: "read", Value: 0.5})
+	tab.Hear(testNow, Stated{Service: "quality", Route: "read", Value: 0.1, Age: 100 * time.Millisecond})
+	assert.Equal(t, 0.5, tab.Share(testNow, "read"))
+	later := testNow.Add(200 * time.Millisecond)
+	tab.Hear(later, Stated{Service: "quality", Route: "read", Value: 0.1, Age: 100 * time.Millisecond})
+	assert.Equal(t, 0.1, tab.Share(later, "read"))
+	require.Len(t, tab.Stated(later), 1)
+	assert.Equal(t, 100*time.Millisecond, tab.Stated(later)[0].Age)
+}
--- /dev/null
+++ b/core/rootshare/table.go
@@ -0,0 +1,135 @@
+package rootshare
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// blend is the weight of one statement. The upstreams of a service state
+	// shares of their own, and a request may go to any of them.
+	blend = 0.25
+	// lifetime is the age up to which a share holds in full.
+	lifetime = 900 * time.Millisecond
+	// opening is the time after its lifetime in which a share grows to one.
+	opening = 2 * time.Second
+	// passOn is the age up to which a share is told to others.
+	passOn = 700 * time.Millisecond
+	// maxStated bounds the shares on one reply.
+	maxStated = 24
+)
+
+// Stated is the share of a route that a service states.
+type Stated struct {
+	Service string
+	Route   string
+	Value   float64
+	Age     time.Duration
+}
+
+type key struct{ service, route string }
+
+type entry struct {
+	value float64
+	at    time.Time // when the service stated it
+}
+
+// Table holds the shares that a node has heard of. It is safe for concurrent
+// use.
+type Table struct {
+	mu      sync.Mutex
+	entries map[key]*entry
+	credit  map[string]float64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: map[key]*entry{}, credit: map[string]float64{}} }
+
+// Hear takes a share from a reply. Age is zero for one that the replying node
+// states of its own upstream.
+func (t *Table) Hear(now time.Time, s Stated) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now.Add(-s.Age)
+	k := key{s.Service, s.Route}
+	e := t.entries[k]
+	switch {
+	case e == nil:
+		t.entries[k] = &entry{value: s.Value, at: at}
+	case s.Age == 0:
+		e.value += blend * (s.Value - e.value)
+		e.at = at
+	case at.After(e.at):
+		e.value, e.at = s.Value, at
+	}
+}
+
+// Share returns the part of a route's requests to start.
+func (t *Table) Share(now time.Time, route string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.share(now, route)
+}
+
+func (t *Table) share(now time.Time, route string) float64 {
+	share := 1.0
+	for k, e := range t.entries {
+		if k.route == route {
+			share = min(share, e.aged(now))
+		}
+	}
+	return share
+}
+
+func (e *entry) aged(now time.Time) float64 {
+	late := now.Sub(e.at) - lifetime
+	if late <= 0 {
+		return e.value
+	}
+	return min(1, e.value+(1-e.value)*late.Seconds()/opening.Seconds())
+}
+
+// Start decides whether a request of a route is started, and returns the share
+// that decided. Requests are dealt evenly: of any run of requests, the share is
+// started.
+func (t *Table) Start(now time.Time, route string) (share float64, start bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	share = t.share(now, route)
+	if share >= 1 {
+		delete(t.credit, route)
+		return 1, true
+	}
+	credit := t.credit[route] + share
+	start = credit >= 1
+	if start {
+		credit--
+	}
+	t.credit[route] = credit
+	return share, start
+}
+
+// Stated returns the shares to pass on, the smallest first.
+func (t *Table) Stated(now time.Time) []Stated {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Stated
+	for k, e := range t.entries {
+		age := now.Sub(e.at)
+		if age > lifetime+opening {
+			delete(t.entries, k)
+			continue
+		}
+		if age <= passOn {
+			out = append(out, Stated{Service: k.service, Route: k.route, Value: e.value, Age: age})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Value != out[j].Value {
+			return out[i].Value < out[j].Value
+		}
+		return out[i].Service+out[i].Route < out[j].Service+out[j].Route
+	})
+	return out[:min(len(out), maxStated)]
+}
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"toucangw.example/core/balance"
@@ -32,7 +31,8 @@
 	service  string
 	parent   *lineage.Parent // nil for a request of a client
 	priority int
-	root     string // route at the root of the call tree
+	root     string  // route at the root of the call tree
+	started  float64 // probability with which requests of the root are started
 	deadline time.Time
 	attempts int // sent to upstreams
 	placed   int // nodes asked
@@ -90,34 +90,43 @@
 	if req.ContentLength > g.maxBody() {
 		return verdict.Refuse(verdict.BadRequest, "body is too large"), http.StatusRequestEntityTooLarge
 	}
-	q.service = q.route.Next()
 	g.place(q)
+	if q.parent == nil {
+		if refusal := g.start(q); refusal != nil {
+			return refusal, http.StatusServiceUnavailable
+		}
+	}
+	q.service = q.route.Next()
 	return nil, 0
 }
 
-// place derives deadline and rank of a request.
+// place derives deadline, rank and parent of a request.
 func (g *Gateway) place(q *request) {
-	q.priority, q.root = q.route.Priority, q.route.Name
+	q.priority, q.root, q.started = q.route.Priority, q.route.Name, 1
 	left := q.route.Timeout
 	ms, err := strconv.ParseInt(q.x.Request.Header.Get(g.cfg.Headers.Deadline), 10, 64)
 	if err == nil && ms >= 0 {
 		client := time.Duration(ms) * time.Millisecond
-		if g.fromUpstream(q.x) {
-			q.parent = g.running.Find(q.x.Arrived.Add(client))
-		}
+		q.parent = g.findParent(q.route.Name, q.x.Arrived.Add(client))
 		left = min(left, client)
 	}
 	q.deadline = q.x.Arrived.Add(left)
-	if q.parent != nil {
-		q.priority, q.root = q.parent.Priority, q.parent.Route
+	if p := q.parent; p != nil {
+		q.priority, q.root, q.started = p.Priority, p.Route, p.Started
 	}
 }
 
-// fromUpstream reports whether a request may be a call of the local upstream,
-// which uses the address of the host.
-func (g *Gateway) fromUpstream(x *h1.Exchange) bool {
-	host, _, _ := strings.Cut(x.Remote(), ":")
-	return host == g.cfg.Upstream.Addr().String()
+// findParent returns the request of the local upstream that makes a call, or
+// nil for a request of a client.
+func (g *Gateway) findParent(route string, deadline time.Time) *lineage.Parent {
+	parent := g.running.Find(deadline)
+	if !g.calls.Observe(route, parent != nil) {
+		return nil
+	}
+	if parent == nil {
+		parent = g.running.MostUrgent(deadline)
+	}
+	return parent
 }
 
 // prepare reads the body and builds the attempt.
@@ -132,6 +141,7 @@
 		header: header, requestID: q.id, deadline: q.deadline,
 		meta: forwardMeta{
 			Service: q.service, Origin: g.cfg.Service, Route: q.root, Priority: q.priority, Call: q.parent != nil,
+			Started: q.started,
 		},
 	}
 	if q.parent != nil {
@@ -150,8 +160,13 @@
 // serve makes attempts until one ends the request.
 func (g *Gateway) serve(ctx context.Context, q *request, f *forward) *reply {
 	q.tried = map[string]bool{}
+	var last *reply
 	for {
 		r := g.attempt(ctx, q, f)
+		if r.meta.Reason == verdict.NoUpstream && last != nil {
+			return last // says more than that none is left
+		}
+		last = r
 		if r.answer != nil || !g.again(ctx, q, f, r) {
 			return r
 		}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"toucangw.example/core/lineage"
 	"toucangw.example/core/outcome"
 	"toucangw.example/core/retryshare"
+	"toucangw.example/core/rootshare"
 	"toucangw.example/core/routetable"
 	"toucangw.example/node/h1"
 )
@@ -65,6 +66,9 @@
 	balancer *balance.Balancer
 	budget   *retryshare.Budget
 	running  lineage.Register // requests at the local upstream
+	calls    lineage.Calls
+	demand   *rootshare.Estimator // at the local upstream
+	shares   *rootshare.Table     // of all services heard of
 	ledger   *outcome.Ledger[*reply]
 
 	gateMu  sync.Mutex
@@ -95,6 +99,8 @@
 		cfg:      cfg,
 		balancer: balance.New(cfg.Zone),
 		budget:   retryshare.New(cfg.Allowance),
+		demand:   rootshare.NewEstimator(),
+		shares:   rootshare.NewTable(),
 		ledger:   outcome.New[*reply](),
 		gate:     gate.New(initialSlots),
 		tickets:  map[*gate.Entry]*ticket{},
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -34,6 +34,7 @@
 	if c := g.routes.Load(); c != nil {
 		r.meta.Version = c.Version
 	}
+	r.meta.Shares = g.stateShares(load.Limit)
 	return r
 }
 
@@ -41,6 +42,7 @@
 	if refusal := g.refuseNew(f); refusal != nil {
 		return refused(refusal)
 	}
+	g.demand.Arrive(time.Now(), f.meta.Route, f.meta.Priority, f.meta.Started)
 	key := f.meta.Key
 	if key != "" && !g.ledger.Begin(time.Now(), key) {
 		return failed(verdict.MayHaveRun, verdict.KeyFenced, "the key was used before")
@@ -109,11 +111,15 @@
 		g.release(entry, 0)
 		return failed(verdict.NotRun, verdict.DeadlineUnmet, "no time left")
 	}
-	parent := &lineage.Parent{Deadline: f.deadline, Priority: f.meta.Priority, Route: f.meta.Route, Repeat: f.meta.Repeat}
+	parent := &lineage.Parent{
+		Deadline: f.deadline, Priority: f.meta.Priority, Route: f.meta.Route,
+		Repeat: f.meta.Repeat, Started: f.meta.Started,
+	}
 	g.running.Add(parent)
 	end := func(service time.Duration) {
 		g.running.Remove(parent)
 		g.release(entry, service)
+		g.demand.Ended(f.meta.Route, time.Since(started))
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(answerGrace))
 	response, err := g.upstream.Do(ctx, g.cfg.Upstream.String(), g.upstreamCall(f, left))
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -104,5 +104,8 @@
 	if q.parent != nil {
 		attrs = append(attrs, "root", q.root)
 	}
+	if q.started < 1 {
+		attrs = append(attrs, "share", q.started)
+	}
 	return attrs
 }
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -49,11 +49,13 @@
 	Route    string `json:"r,omitempty"` // route at the root of its call tree
 	Priority int    `json:"p"`           // priority of that route
 	Call     bool   `json:"c,omitempty"` // made by a running request
-	Repeat   bool   `json:"t,omitempty"` // not the first run, or below one
-	LeftMS   int64  `json:"l"`           // time left, milliseconds
-	WaitMS   int64  `json:"w,omitempty"` // longest time in the queue, milliseconds
-	Key      string `json:"k,omitempty"` // set if it may run at most once
-	Version  uint64 `json:"v,omitempty"` // configuration in force at the sender
+	// Started is the probability with which requests of that route are started.
+	Started float64 `json:"f,omitempty"`
+	Repeat  bool    `json:"t,omitempty"` // not the first run, or below one
+	LeftMS  int64   `json:"l"`           // time left, milliseconds
+	WaitMS  int64   `json:"w,omitempty"` // longest time in the queue, milliseconds
+	Key     string  `json:"k,omitempty"` // set if it may run at most once
+	Version uint64  `json:"v,omitempty"` // configuration in force at the sender
 }
 
 // reply is the end of an attempt as the guarding node tells it.
@@ -81,6 +83,16 @@
 	Queued    int    `json:"q,omitempty"`
 	Limit     int    `json:"l,omitempty"`
 	Version   uint64 `json:"c,omitempty"` // configuration in force at the guard
+	// Shares of routes to start, as services on the way state them.
+	Shares []shareMeta `json:"h,omitempty"`
+}
+
+// shareMeta is a rootshare.Stated on the wire.
+type shareMeta struct {
+	Service string  `json:"s"`
+	Route   string  `json:"r"`
+	Value   float64 `json:"v"`
+	AgeMS   int64   `json:"a,omitempty"`
 }
 
 func (m *replyMeta) report() *balance.Report {
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -68,6 +68,7 @@
 	r, err = g.readReply(response)
 	if err == nil {
 		g.compareVersion(r.meta.Version, peer)
+		g.hearShares(r.meta.Shares)
 	}
 	if err != nil {
 		cancel()
--- /dev/null
+++ b/node/gateway/shares.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"toucangw.example/core/rootshare"
+	"toucangw.example/core/verdict"
+)
+
+// stateShares returns the shares of the local upstream and those heard of
+// other services.
+func (g *Gateway) stateShares(limit int) []shareMeta {
+	now := time.Now()
+	var out []shareMeta
+	for _, s := range g.demand.Shares(now, limit) {
+		out = append(out, shareMeta{Service: g.cfg.Service, Route: s.Route, Value: s.Value})
+		g.shares.Hear(now, rootshare.Stated{Service: g.cfg.Service, Route: s.Route, Value: s.Value})
+	}
+	for _, s := range g.shares.Stated(now) {
+		if s.Service != g.cfg.Service {
+			out = append(out, shareMeta{Service: s.Service, Route: s.Route, Value: s.Value, AgeMS: max(s.Age.Milliseconds(), 1)})
+		}
+	}
+	return out
+}
+
+// hearShares takes the shares on a reply.
+func (g *Gateway) hearShares(shares []shareMeta) {
+	now := time.Now()
+	for _, s := range shares {
+		g.shares.Hear(now, rootshare.Stated{
+			Service: s.Service, Route: s.Route, Value: s.Value, Age: time.Duration(s.AgeMS) * time.Millisecond,
+		})
+	}
+}
+
+const (
+	// returnBase is the shortest time after which a client that was refused
+	// for load may come back; returnSpread grows with the part refused, so
+	// that those who come back fit beside the newcomers.
+	returnBase   = 300 * time.Millisecond
+	returnSpread = 1200 * time.Millisecond
+)
+
+// start decides whether a request of a client is started.
+func (g *Gateway) start(q *request) *verdict.Refusal {
+	share, ok := g.shares.Start(time.Now(), q.route.Name)
+	q.started = share
+	if ok {
+		return nil
+	}
+	r := verdict.Refuse(verdict.Pressure, "a service below has no room")
+	wait := returnBase + time.Duration((1-share)*float64(returnSpread))
+	r.RetryAfter = time.Duration((0.6 + 0.8*rand.Float64()) * float64(wait))
+	return r
+}
