lineage, rootshare: attribute calls by their order; close routes whose calls fail

Change: the parent of a call whose own limit hides it is the one that just got an answer, on the same connection first. A route waits on queue times that fade. A node whose call is refused states the minimum for its root route.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -49,8 +49,14 @@
 	ended
 )
 
-// Waited returns the time that an admitted request spent in the queue.
-func (e *Entry) Waited() time.Duration { return e.started.Sub(e.arrived) }
+// Waited returns the time that a request spent in the queue until it got a
+// slot, or until now if it has none.
+func (e *Entry) Waited(now time.Time) time.Duration {
+	if e.started.IsZero() {
+		return now.Sub(e.arrived)
+	}
+	return e.started.Sub(e.arrived)
+}
 
 // Decision is the fate of an entry: it runs now or is refused.
 type Decision struct {
--- /dev/null
+++ b/core/lineage/calls.go
@@ -0,0 +1,61 @@
+package lineage
+
+import (
+	"sync"
+	"time"
+)
+
+// Calls learns which routes are called by upstreams: nearly all requests on
+// such a route match a parent, while requests of clients match one only by
+// chance. It is safe for concurrent use.
+type Calls struct {
+	mu     sync.Mutex
+	routes map[string]*callRate
+}
+
+type callRate struct {
+	longest time.Duration // largest time limit seen
+	matched float64
+	seen    int
+}
+
+const (
+	// callWeight is the weight of one request in the rate of a route.
+	callWeight = 0.06
+	// callShare of the telling requests of a route match if upstreams call it.
+	callShare = 0.7
+	// callSamples is the number of requests before the rate is used.
+	callSamples = 12
+	// limitSlack is the difference to the largest time limit up to which a
+	// limit counts as the sender's own.
+	limitSlack = 3 * time.Millisecond
+)
+
+// Observe counts a request of a route with a time limit and returns whether
+// upstreams call the route. A request without a match says nothing if its
+// limit is the largest of its route: that is the sender's own limit.
+func (c *Calls) Observe(route string, limit time.Duration, matched bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.routes == nil {
+		c.routes = map[string]*callRate{}
+	}
+	r := c.routes[route]
+	if r == nil {
+		r = &callRate{matched: 0.5}
+		c.routes[route] = r
+	}
+	r.longest = max(r.longest, limit)
+	if limit < r.longest-limitSlack {
+		value := 0.0
+		if matched {
+			value = 1
+		}
+		r.matched += callWeight * (value - r.matched)
+		r.seen++
+	}
+	if r.seen < callSamples {
+		return matched && limit < r.longest-limitSlack
+	}
+	return r.matched > callShare
+}
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -1,7 +1,8 @@
 // Package lineage finds the parent of a call that an upstream makes while it
 // runs a request. Calls carry no reference to their parent, but they expire
-// with it, so the deadline of a call equals the deadline of one of the
-// requests that run at the upstream beside the node.
+// with it: the deadline of a call equals that of one of the requests that run
+// at the upstream beside the node, unless the call has a shorter time limit of
+// its own. In that case the parent is guessed from the order of calls.
 package lineage
 
 import (
@@ -9,10 +10,16 @@
 	"time"
 )
 
-// tolerance is the largest difference between the deadline of a call and that
-// of its parent. Deadlines travel in whole milliseconds, and each hop between
-// processes adds a delay.
-const tolerance = 12 * time.Millisecond
+const (
+	// early and late bound the difference between the deadline of a call and
+	// that of its parent. Deadlines travel in whole milliseconds, rounded down
+	// twice, and a busy host reads a call late.
+	early = 3 * time.Millisecond
+	late  = 4 * time.Millisecond
+	// succession is the time within which an upstream makes its next call
+	// after the answer to the one before.
+	succession = 8 * time.Millisecond
+)
 
 // Parent is a running request.
 type Parent struct {
@@ -28,7 +35,11 @@
 	// started.
 	Started float64
 
-	place int
+	place   int // in the register; -1 once removed
+	began   time.Time
+	calls   int // made so far
+	open    int // calls in progress
+	lastEnd time.Time
 }
 
 // Register holds the requests that run at one upstream. It is safe for
@@ -39,10 +50,10 @@
 }
 
 // Add registers a request when it is passed to the upstream.
-func (r *Register) Add(p *Parent) {
+func (r *Register) Add(now time.Time, p *Parent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p.place = len(r.running)
+	p.place, p.began = len(r.running), now
 	r.running = append(r.running, p)
 }
 
@@ -50,96 +61,88 @@
 func (r *Register) Remove(p *Parent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.place >= len(r.running) || r.running[p.place] != p {
+	if p.place < 0 || p.place >= len(r.running) || r.running[p.place] != p {
 		return
 	}
 	last := r.running[len(r.running)-1]
 	r.running[p.place] = last
 	last.place = p.place
+	p.place = -1
 	r.running[len(r.running)-1] = nil
 	r.running = r.running[:len(r.running)-1]
 }
 
-// Find returns the running request whose deadline is nearest to that of a
-// call, or nil if none is near enough.
-func (r *Register) Find(deadline time.Time) *Parent {
+// Match returns the running request whose deadline is that of a call, or nil.
+func (r *Register) Match(deadline time.Time) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *Parent
-	distance := tolerance + 1
+	distance := early + late
 	for _, p := range r.running {
-		if d := deadline.Sub(p.Deadline).Abs(); d < distance {
-			best, distance = p, d
+		d := deadline.Sub(p.Deadline)
+		if d >= -early && d <= late && d.Abs() < distance {
+			best, distance = p, d.Abs()
 		}
 	}
 	return best
 }
 
-// MostUrgent returns the most important running request that outlives a
-// deadline, or nil. A call whose own time limit is shorter than that of its
-// parent matches no deadline.
-func (r *Register) MostUrgent(deadline time.Time) *Parent {
+// Guess returns the running request that most likely makes a call whose own
+// time limit hides its parent, or nil. Before is the parent of the previous
+// call on the same connection, if any.
+func (r *Register) Guess(now, deadline time.Time, before *Parent) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var best *Parent
+	if before != nil && before.place >= 0 && before.open == 0 && now.Sub(before.lastEnd) <= succession {
+		return before
+	}
+	var next, first, any *Parent
 	for _, p := range r.running {
-		if p.Deadline.After(deadline) && (best == nil || p.Priority < best.Priority) {
-			best = p
+		if p.Deadline.Before(deadline.Add(-early)) {
+			continue // the call would have its limit
+		}
+		any = p
+		if p.open > 0 {
+			continue
+		}
+		switch {
+		case p.calls == 0:
+			if first == nil || p.began.Before(first.began) {
+				first = p
+			}
+		case now.Sub(p.lastEnd) <= succession:
+			if next == nil || p.lastEnd.After(next.lastEnd) {
+				next = p
+			}
 		}
 	}
-	return best
+	for _, p := range []*Parent{next, first} {
+		if p != nil {
+			return p
+		}
+	}
+	return any
 }
 
-// Len returns the number of running requests.
-func (r *Register) Len() int {
+// Called counts a call of a request in progress; End ends it.
+func (r *Register) Called(p *Parent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.running)
-}
-
-// Calls learns which routes are called by upstreams: nearly all requests on
-// such a route have a parent, while requests of clients match one only by
-// chance. It is safe for concurrent use.
-type Calls struct {
-	mu     sync.Mutex
-	routes map[string]*callRate
+	p.calls++
+	p.open++
 }
 
-type callRate struct {
-	matched float64
-	seen    int
+// End reports that a call of a request was answered.
+func (r *Register) End(now time.Time, p *Parent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.open--
+	p.lastEnd = now
 }
 
-const (
-	// callWeight is the weight of one request in the rate of a route.
-	callWeight = 0.06
-	// callShare of the requests of a route have a parent if upstreams call it.
-	callShare = 0.6
-	// callSamples is the number of requests before the rate is used.
-	callSamples = 12
-)
-
-// Observe counts a request of a route and returns whether the route is called
-// by upstreams.
-func (c *Calls) Observe(route string, matched bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.routes == nil {
-		c.routes = map[string]*callRate{}
-	}
-	r := c.routes[route]
-	if r == nil {
-		r = &callRate{matched: 0.5}
-		c.routes[route] = r
-	}
-	value := 0.0
-	if matched {
-		value = 1
-	}
-	r.matched += callWeight * (value - r.matched)
-	r.seen++
-	if r.seen < callSamples {
-		return matched
-	}
-	return r.matched > callShare
+// Len returns the number of running requests.
+func (r *Register) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running)
 }
--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -9,7 +9,9 @@
 // begins starts the smallest share that any service states. So a tree that
 // cannot be finished is refused before it costs anything. Estimating the
 // demand before refusals, instead of correcting the share by what arrives,
-// keeps the loop stable whatever the delay.
+// keeps the loop stable whatever the delay. Calls that wait slow down the calls
+// after them, which hides a part of the demand, so that a route whose calls
+// wait is restricted further until they do not.
 package rootshare
 
 import (
@@ -36,6 +38,19 @@
 	MinShare = 0.08
 	// quiet is the demand, in slots, below which a route is forgotten.
 	quiet = 0.01
+	// waitTarget is the queue time that a route's calls may have on average.
+	waitTarget = 12 * time.Millisecond
+	// waitSpan is the queue time above waitTarget at which a route is
+	// restricted at the full pace.
+	waitSpan = 40 * time.Millisecond
+	// waitWeight is the weight of one call in the mean queue time of a route.
+	waitWeight = 0.08
+	// waitLife is the time constant with which a queue time is forgotten.
+	waitLife = 400 * time.Millisecond
+	// restrictPace is the relative decrease per second of the share of a route
+	// whose calls wait; openPace is the increase per second once they do not.
+	restrictPace = 2.5
+	openPace     = 0.35
 	// announce is how long the share of a route is stated after it was
 	// restricted, so that all nodes hear of the end.
 	announce = time.Second
@@ -62,7 +77,8 @@
 	priority   int
 	slots      float64 // estimated demand
 	cost       float64 // mean seconds per call
-	share      float64
+	wait       float64 // mean seconds in the queue
+	factor     float64 // correction of the share for what the wait hides
 	restricted time.Time
 }
 
@@ -77,7 +93,7 @@
 	e.decay(now)
 	d := e.routes[route]
 	if d == nil {
-		d = &demand{cost: initialCost.Seconds(), share: 1}
+		d = &demand{cost: initialCost.Seconds(), factor: 1}
 		e.routes[route] = d
 	}
 	d.priority = priority
@@ -93,6 +109,16 @@
 	}
 }
 
+// Waited takes the time that a call of a route was queued, whether it got a
+// slot or not.
+func (e *Estimator) Waited(route string, wait time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d := e.routes[route]; d != nil {
+		d.wait += waitWeight * (wait.Seconds() - d.wait)
+	}
+}
+
 // Shares returns the shares of the routes that are restricted, or were a short
 // while ago, for an upstream with a number of slots.
 func (e *Estimator) Shares(now time.Time, slots int) []Share {
@@ -101,8 +127,9 @@
 	if now.Sub(e.computed) < update && e.capacity == float64(slots) {
 		return e.shares
 	}
-	e.computed = now
 	e.decay(now)
+	e.correct(min(now.Sub(e.computed), 2*update))
+	e.computed = now
 	e.capacity = float64(slots)
 	e.divide(now, usable*float64(slots))
 	return e.shares
@@ -128,6 +155,21 @@
 	}
 }
 
+// correct adapts the factors of the routes to their queue times.
+func (e *Estimator) correct(passed time.Duration) {
+	fade := math.Exp(-passed.Seconds() / waitLife.Seconds())
+	for _, d := range e.routes {
+		d.wait *= fade // a route without calls must not stay restricted
+		over := (d.wait - waitTarget.Seconds()) / waitSpan.Seconds()
+		if over > 0 {
+			d.factor *= math.Exp(-restrictPace * min(over, 1) * passed.Seconds())
+			d.factor = max(d.factor, MinShare)
+			continue
+		}
+		d.factor = min(1, d.factor+openPace*passed.Seconds())
+	}
+}
+
 // divide gives the capacity to the routes in order of their priority. Routes
 // of one priority get the same share.
 func (e *Estimator) divide(now time.Time, capacity float64) {
@@ -151,7 +193,7 @@
 		}
 		share := 1.0
 		if total > capacity {
-			share = max(capacity/total, MinShare)
+			share = capacity / total
 		}
 		capacity = max(capacity-total*share, 0)
 		for _, name := range names[from:to] {
@@ -164,7 +206,7 @@
 // state sets the share of a route and announces it if it matters.
 func (e *Estimator) state(now time.Time, name string, share float64) {
 	d := e.routes[name]
-	d.share = share
+	share = max(share*d.factor, MinShare)
 	if share < 1 {
 		d.restricted = now
 	}
--- a/core/rootshare/table.go
+++ b/core/rootshare/table.go
@@ -8,8 +8,9 @@
 
 const (
 	// blend is the weight of one statement. The upstreams of a service state
-	// shares of their own, and a request may go to any of them.
-	blend = 0.25
+	// shares of their own, nodes hear of them at different times, and a request
+	// may go to any of them.
+	blend = 0.2
 	// lifetime is the age up to which a share holds in full.
 	lifetime = 900 * time.Millisecond
 	// opening is the time after its lifetime in which a share grows to one.
@@ -55,16 +56,27 @@
 	k := key{s.Service, s.Route}
 	e := t.entries[k]
 	switch {
+	case e == nil && s.Value >= 1:
 	case e == nil:
-		t.entries[k] = &entry{value: s.Value, at: at}
-	case s.Age == 0:
+		t.entries[k] = &entry{value: 1 + blend*(s.Value-1), at: at}
+	case at.After(e.at):
 		e.value += blend * (s.Value - e.value)
 		e.at = at
-	case at.After(e.at):
-		e.value, e.at = s.Value, at
 	}
 }
 
+// Failed notes that a call of a route's tree was refused or found no upstream:
+// starting more of it is in vain as long as this goes on.
+func (t *Table) Failed(now time.Time, service, route string) {
+	t.Hear(now, Stated{Service: service, Route: route, Value: MinShare})
+}
+
+// Succeeded notes that a call of a route's tree was answered, and that its
+// service states no share.
+func (t *Table) Succeeded(now time.Time, service, route string) {
+	t.Hear(now, Stated{Service: service, Route: route, Value: 1})
+}
+
 // Share returns the part of a route's requests to start.
 func (t *Table) Share(now time.Time, route string) float64 {
 	t.mu.Lock()
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -56,8 +56,12 @@
 		g.refuse(q, status, refusal)
 		return
 	}
+	if q.parent != nil {
+		g.running.Called(q.parent)
+	}
 	f, err := g.prepare(q)
 	if err != nil {
+		g.endCall(q)
 		if x.Context().Err() == nil {
 			g.refuse(q, http.StatusBadRequest, verdict.Refuse(verdict.BadRequest, err.Error()))
 		}
@@ -67,9 +71,19 @@
 	defer cancel()
 	g.budget.Request(time.Now(), q.service)
 	r := g.serve(ctx, q, f)
+	g.endCall(q)
+	g.learnCall(q, r)
 	g.deliver(q, r)
 }
 
+// endCall notes the end of a call before its answer is written: the upstream
+// may make its next call at once.
+func (g *Gateway) endCall(q *request) {
+	if q.parent != nil {
+		g.running.End(time.Now(), q.parent)
+	}
+}
+
 // accept finds the route of a request and its deadline.
 func (g *Gateway) accept(q *request) (*verdict.Refusal, int) {
 	routes := g.routes.Load()
@@ -107,7 +121,7 @@
 	ms, err := strconv.ParseInt(q.x.Request.Header.Get(g.cfg.Headers.Deadline), 10, 64)
 	if err == nil && ms >= 0 {
 		client := time.Duration(ms) * time.Millisecond
-		q.parent = g.findParent(q.route.Name, q.x.Arrived.Add(client))
+		q.parent = g.findParent(q, client)
 		left = min(left, client)
 	}
 	q.deadline = q.x.Arrived.Add(left)
@@ -118,13 +132,18 @@
 
 // findParent returns the request of the local upstream that makes a call, or
 // nil for a request of a client.
-func (g *Gateway) findParent(route string, deadline time.Time) *lineage.Parent {
-	parent := g.running.Find(deadline)
-	if !g.calls.Observe(route, parent != nil) {
+func (g *Gateway) findParent(q *request, limit time.Duration) *lineage.Parent {
+	deadline := q.x.Arrived.Add(limit)
+	parent := g.running.Match(deadline)
+	if !g.calls.Observe(q.route.Name, limit, parent != nil) {
 		return nil
 	}
 	if parent == nil {
-		parent = g.running.MostUrgent(deadline)
+		before, _ := q.x.ConnValue().(*lineage.Parent)
+		parent = g.running.Guess(q.x.Arrived, deadline, before)
+	}
+	if parent != nil {
+		q.x.SetConnValue(parent)
 	}
 	return parent
 }
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -52,7 +52,9 @@
 		Deadline: f.deadline,
 		MaxWait:  time.Duration(f.meta.WaitMS) * time.Millisecond,
 	}
-	if refusal := g.acquire(ctx, entry); refusal != nil {
+	refusal := g.acquire(ctx, entry)
+	g.demand.Waited(f.meta.Route, entry.Waited(time.Now()))
+	if refusal != nil {
 		if key != "" {
 			g.ledger.Refuse(time.Now(), key)
 		}
@@ -115,7 +117,7 @@
 		Deadline: f.deadline, Priority: f.meta.Priority, Route: f.meta.Route,
 		Repeat: f.meta.Repeat, Started: f.meta.Started,
 	}
-	g.running.Add(parent)
+	g.running.Add(started, parent)
 	end := func(service time.Duration) {
 		g.running.Remove(parent)
 		g.release(entry, service)
@@ -129,7 +131,7 @@
 		return callFailed(err)
 	}
 	r := g.readAnswer(response)
-	r.meta.WaitedUS = entry.Waited().Microseconds()
+	r.meta.WaitedUS = entry.Waited(started).Microseconds()
 	r.meta.Arrived = true
 	if r.answer == nil || r.answer.Stream == nil {
 		cancel()
--- a/node/gateway/shares.go
+++ b/node/gateway/shares.go
@@ -55,3 +55,26 @@
 	r.RetryAfter = time.Duration((0.6 + 0.8*rand.Float64()) * float64(wait))
 	return r
 }
+
+// learnCall notes whether a call could be served, for the start of further
+// requests of its root's route.
+func (g *Gateway) learnCall(q *request, r *reply) {
+	if q.parent == nil {
+		return
+	}
+	now := time.Now()
+	if r.answer != nil {
+		for _, s := range r.meta.Shares {
+			if s.Service == q.service && s.Route == q.root {
+				return // heard already
+			}
+		}
+		g.shares.Succeeded(now, q.service, q.root)
+		return
+	}
+	switch r.meta.Reason {
+	case verdict.Cancelled, verdict.DeadlinePassed:
+	default:
+		g.shares.Failed(now, q.service, q.root)
+	}
+}
--- a/node/h1/exchange.go
+++ b/node/h1/exchange.go
@@ -52,6 +52,18 @@
 // Remote is the address of the client.
 func (x *Exchange) Remote() string { return x.conn.nc.RemoteAddr().String() }
 
+// ConnValue returns what SetConnValue stored for the connection; nil without.
+func (x *Exchange) ConnValue() any {
+	v, _ := x.conn.value.Load().(connValue)
+	return v.value
+}
+
+// SetConnValue stores a value for the later requests of the connection.
+func (x *Exchange) SetConnValue(v any) { x.conn.value.Store(connValue{v}) }
+
+// connValue lets values of any type be stored atomically.
+type connValue struct{ value any }
+
 func (x *Exchange) endBody(whole bool) {
 	x.bodyOnce.Do(func() {
 		x.bodyRead.Store(whole)
--- a/node/h1/serverconn.go
+++ b/node/h1/serverconn.go
@@ -41,8 +41,9 @@
 	ctx    context.Context // ends when the client has left
 	cancel context.CancelFunc
 
-	idle     atomic.Bool // waits for a request
-	closing  atomic.Bool // an answer that closes the connection was written
+	idle     atomic.Bool  // waits for a request
+	closing  atomic.Bool  // an answer that closes the connection was written
+	value    atomic.Value // of connValue
 	slots    chan struct{}
 	handlers sync.WaitGroup
 }
