lineage: attribute calls only to routes that make them

Change: matches by deadline teach which routes make which calls; guesses keep to those. The log names the service that restricts a route.

--- a/core/lineage/calls.go
+++ b/core/lineage/calls.go
@@ -17,6 +17,8 @@
 	longest time.Duration // largest time limit seen
 	matched float64
 	seen    int
+	parents map[string]float64 // share of the matches by route of the parent
+	matches int
 }
 
 const (
@@ -26,25 +28,58 @@
 	callShare = 0.7
 	// callSamples is the number of requests before the rate is used.
 	callSamples = 12
+	// parentWeight is the weight of one match in the shares of parents.
+	parentWeight = 0.03
+	// parentShare of the matches of a called route have a parent of a route
+	// that calls it; others match by chance.
+	parentShare = 0.1
+	// parentSamples is the number of matches before the shares are used.
+	parentSamples = 30
 	// limitSlack is the difference to the largest time limit up to which a
 	// limit counts as the sender's own.
 	limitSlack = 3 * time.Millisecond
 )
 
-// Observe counts a request of a route with a time limit and returns whether
-// upstreams call the route. A request without a match says nothing if its
-// limit is the largest of its route: that is the sender's own limit.
-func (c *Calls) Observe(route string, limit time.Duration, matched bool) bool {
+// Makes reports whether requests of a route may make calls of another.
+func (c *Calls) Makes(own, call string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.routes[call]
+	return r == nil || r.matches < parentSamples || r.parents[own] >= parentShare
+}
+
+// Matched counts a call whose parent is known by its deadline.
+func (c *Calls) Matched(own, call string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r := c.route(call)
+	r.matches++
+	weight := max(parentWeight, 1/float64(r.matches))
+	for name := range r.parents {
+		r.parents[name] *= 1 - weight
+	}
+	r.parents[own] += weight
+}
+
+func (c *Calls) route(name string) *callRate {
 	if c.routes == nil {
 		c.routes = map[string]*callRate{}
 	}
-	r := c.routes[route]
+	r := c.routes[name]
 	if r == nil {
-		r = &callRate{matched: 0.5}
-		c.routes[route] = r
+		r = &callRate{matched: 0.5, parents: map[string]float64{}}
+		c.routes[name] = r
 	}
+	return r
+}
+
+// Observe counts a request of a route with a time limit and returns whether
+// upstreams call the route. A request without a match says nothing if its
+// limit is the largest of its route: that is the sender's own limit.
+func (c *Calls) Observe(route string, limit time.Duration, matched bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.route(route)
 	r.longest = max(r.longest, limit)
 	if limit < r.longest-limitSlack {
 		value := 0.0
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -28,6 +28,8 @@
 	Priority int
 	// Route at the root of the call tree.
 	Route string
+	// Own is the route of the request itself.
+	Own string
 	// Repeat is set for a run that is not the first of its request, and for
 	// all calls below one.
 	Repeat bool
@@ -73,14 +75,15 @@
 }
 
 // Match returns the running request whose deadline is that of a call, or nil.
-func (r *Register) Match(deadline time.Time) *Parent {
+// Makes tells which routes make such calls.
+func (r *Register) Match(deadline time.Time, makes func(own string) bool) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *Parent
 	distance := early + late
 	for _, p := range r.running {
 		d := deadline.Sub(p.Deadline)
-		if d >= -early && d <= late && d.Abs() < distance {
+		if d >= -early && d <= late && d.Abs() < distance && makes(p.Own) {
 			best, distance = p, d.Abs()
 		}
 	}
@@ -90,7 +93,7 @@
 // Guess returns the running request that most likely makes a call whose own
 // time limit hides its parent, or nil. Before is the parent of the previous
 // call on the same connection, if any.
-func (r *Register) Guess(now, deadline time.Time, before *Parent) *Parent {
+func (r *Register) Guess(now, deadline time.Time, before *Parent, makes func(own string) bool) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if before != nil && before.place >= 0 && before.open == 0 && now.Sub(before.lastEnd) <= succession {
@@ -98,8 +101,8 @@
 	}
 	var next, first, any *Parent
 	for _, p := range r.running {
-		if p.Deadline.Before(deadline.Add(-early)) {
-			continue // the call would have its limit
+		if p.Deadline.Before(deadline.Add(-early)) || !makes(p.Own) {
+			continue // the call would have its limit, or another route
 		}
 		any = p
 		if p.open > 0 {
--- a/core/lineage/lineage_test.go
+++ b/core/lineage/lineage_test.go
@@ -9,6 +9,8 @@
 
 var testNow = time.Unix(1_700_000_000, 0)
 
+func anyRoute(string) bool { return true }
+
 func after(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
 
 // Guards against a call taking the rank of a request that is not its parent.
@@ -18,12 +20,12 @@
 	b := &Parent{Deadline: after(505), Route: "b"}
 	r.Add(testNow, a)
 	r.Add(testNow, b)
-	assert.Same(t, a, r.Match(after(499)))
-	assert.Same(t, b, r.Match(after(504)))
-	assert.Nil(t, r.Match(after(520)))
+	assert.Same(t, a, r.Match(after(499), anyRoute))
+	assert.Same(t, b, r.Match(after(504), anyRoute))
+	assert.Nil(t, r.Match(after(520), anyRoute))
 	r.Remove(a)
 	r.Remove(a)
-	assert.Nil(t, r.Match(after(497)))
+	assert.Nil(t, r.Match(after(497), anyRoute))
 	assert.Equal(t, 1, r.Len())
 }
 
@@ -37,20 +39,20 @@
 	r.Add(after(0), short)
 	r.Add(after(1), older)
 	r.Add(after(5), newer)
-	assert.Same(t, older, r.Guess(after(20), after(720), nil), "the oldest without a call")
+	assert.Same(t, older, r.Guess(after(20), after(720), nil, anyRoute), "the oldest without a call")
 	r.Called(older)
-	assert.Same(t, newer, r.Guess(after(25), after(725), nil), "the other has a call in progress")
+	assert.Same(t, newer, r.Guess(after(25), after(725), nil, anyRoute), "the other has a call in progress")
 	r.Called(newer)
 	r.End(after(60), older)
-	assert.Same(t, older, r.Guess(after(61), after(761), nil), "its call has just ended")
+	assert.Same(t, older, r.Guess(after(61), after(761), nil, anyRoute), "its call has just ended")
 	r.Called(older)
 	r.End(after(100), newer)
 	r.End(after(101), older)
-	assert.Same(t, newer, r.Guess(after(102), after(802), newer), "the same connection")
+	assert.Same(t, newer, r.Guess(after(102), after(802), newer, anyRoute), "the same connection")
 	r.Remove(newer)
-	assert.Same(t, older, r.Guess(after(102), after(802), newer), "the parent has ended")
+	assert.Same(t, older, r.Guess(after(102), after(802), newer, anyRoute), "the parent has ended")
 	r.Remove(older)
-	assert.Nil(t, r.Guess(after(102), after(802), nil))
+	assert.Nil(t, r.Guess(after(102), after(802), nil, anyRoute))
 }
 
 // Guards against requests of clients that match a deadline by chance being
@@ -68,3 +70,27 @@
 	assert.True(t, c.Observe("called", 700*ms, false))
 	assert.False(t, c.Observe("clients", 800*ms, true))
 }
+
+// Guards against calls being attributed to requests that make none.
+func TestParentsAreOfRoutesThatCall(t *testing.T) {
+	var c Calls
+	for i := range 200 {
+		own := "sync"
+		if i%20 == 0 {
+			own = "read" // by chance
+		}
+		c.Matched(own, "feed")
+	}
+	assert.True(t, c.Makes("sync", "feed"))
+	assert.False(t, c.Makes("read", "feed"))
+	assert.True(t, c.Makes("read", "unknown"), "nothing is known yet")
+
+	var r Register
+	read := &Parent{Deadline: after(900), Own: "read"}
+	sync := &Parent{Deadline: after(910), Own: "sync"}
+	r.Add(after(0), read)
+	r.Add(after(1), sync)
+	makes := func(own string) bool { return c.Makes(own, "feed") }
+	assert.Same(t, sync, r.Guess(after(20), after(720), nil, makes))
+	assert.Nil(t, r.Match(after(900), makes))
+}
--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -36,6 +36,9 @@
 	// MinShare of each route is started even if nothing of it should fit, so
 	// that no route starves and a change is noticed.
 	MinShare = 0.08
+	// elsewhereMargin is added to the share that other services leave, so that
+	// two services that restrict one route do not hold each other down.
+	elsewhereMargin = 1.25
 	// quiet is the demand, in slots, below which a route is forgotten.
 	quiet = 0.01
 	// waitTarget is the queue time that a route's calls may have on average.
@@ -79,6 +82,7 @@
 	cost       float64 // mean seconds per call
 	wait       float64 // mean seconds in the queue
 	factor     float64 // correction of the share for what the wait hides
+	bound      float64 // share that other services leave
 	restricted time.Time
 }
 
@@ -120,8 +124,10 @@
 }
 
 // Shares returns the shares of the routes that are restricted, or were a short
-// while ago, for an upstream with a number of slots.
-func (e *Estimator) Shares(now time.Time, slots int) []Share {
+// while ago, for an upstream with a number of slots. Elsewhere returns the
+// share of a route that other services state: what they refuse leaves room for
+// the other routes here.
+func (e *Estimator) Shares(now time.Time, slots int, elsewhere func(route string) float64) []Share {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if now.Sub(e.computed) < update && e.capacity == float64(slots) {
@@ -131,6 +137,9 @@
 	e.correct(min(now.Sub(e.computed), 2*update))
 	e.computed = now
 	e.capacity = float64(slots)
+	for route, d := range e.routes {
+		d.bound = min(1, elsewhereMargin*elsewhere(route))
+	}
 	e.divide(now, usable*float64(slots))
 	return e.shares
 }
@@ -186,23 +195,47 @@
 	})
 	e.shares = nil
 	for from := 0; from < len(names); {
-		to, total := from, 0.0
+		to := from
 		for to < len(names) && e.routes[names[to]].priority == e.routes[names[from]].priority {
-			total += e.routes[names[to]].slots
 			to++
 		}
-		share := 1.0
-		if total > capacity {
-			share = capacity / total
-		}
-		capacity = max(capacity-total*share, 0)
-		for _, name := range names[from:to] {
+		group := names[from:to]
+		share := e.level(group, capacity)
+		for _, name := range group {
+			d := e.routes[name]
+			capacity -= d.slots * min(share, d.bound)
 			e.state(now, name, share)
 		}
+		capacity = max(capacity, 0)
 		from = to
 	}
 }
 
+// level returns the share of the routes of one priority with which they fill
+// the capacity, where each takes no more than other services leave it.
+func (e *Estimator) level(group []string, capacity float64) float64 {
+	free, open := capacity, 0.0
+	bounded := make([]*demand, 0, len(group))
+	for _, name := range group {
+		d := e.routes[name]
+		bounded = append(bounded, d)
+		open += d.slots
+	}
+	sort.Slice(bounded, func(i, j int) bool { return bounded[i].bound < bounded[j].bound })
+	for _, d := range bounded {
+		if open <= 0 || d.bound*open >= free {
+			break
+		}
+		// The route takes all that it may, and the others share the rest.
+		free -= d.bound * d.slots
+		open -= d.slots
+	}
+	if open <= 1e-9 {
+		return 1
+	}
+	return min(1, max(free, 0)/open)
+}
+
 // state sets the share of a route and announces it if it matters.
 func (e *Estimator) state(now time.Time, name string, share float64) {
 	d := e.routes[name]
--- a/core/rootshare/rootshare_test.go
+++ b/core/rootshare/rootshare_test.go
@@ -10,6 +10,9 @@
 
 var testNow = time.Unix(1_700_000_000, 0)
 
+// anywhere is the share of routes that no other service restricts.
+func anywhere(string) float64 { return 1 }
+
 // load plays arrivals of two routes at a gate: each request of a route makes
 // calls that hold a slot for a time.
 type load struct {
@@ -61,7 +64,7 @@
 	now := testNow
 	for range 20 {
 		now = play(e, shares, loads, now, 20)
-		shares = asMap(e.Shares(now, 100))
+		shares = asMap(e.Shares(now, 100, anywhere))
 	}
 	require.Contains(t, shares, "read")
 	assert.NotContains(t, shares, "signoff")
@@ -75,11 +78,11 @@
 	over := []load{{"read", 2, 60, 40 * time.Millisecond}}
 	calm := []load{{"read", 2, 10, 40 * time.Millisecond}}
 	now := play(e, nil, calm, testNow, 100)
-	assert.Empty(t, e.Shares(now, 100))
+	assert.Empty(t, e.Shares(now, 100, anywhere))
 	now = play(e, nil, over, now, 100)
-	assert.NotEmpty(t, e.Shares(now, 100))
+	assert.NotEmpty(t, e.Shares(now, 100, anywhere))
 	now = play(e, nil, calm, now, 300)
-	for _, s := range e.Shares(now, 100) {
+	for _, s := range e.Shares(now, 100, anywhere) {
 		assert.Equal(t, 1.0, s.Value)
 	}
 }
@@ -91,7 +94,7 @@
 		{"signoff", 0, 60, 40 * time.Millisecond},
 		{"read", 2, 20, 40 * time.Millisecond},
 	}, testNow, 200)
-	assert.Equal(t, MinShare, asMap(e.Shares(now, 100))["read"])
+	assert.Equal(t, MinShare, asMap(e.Shares(now, 100, anywhere))["read"])
 }
 
 // hear repeats a statement until it is taken for certain.
@@ -109,13 +112,13 @@
 	hear(tab, testNow, Stated{Service: "quality", Route: "read", Value: 0.4, Age: 20 * time.Millisecond})
 	started := 0
 	for range 100 {
-		if _, ok := tab.Start(testNow, "read"); ok {
+		if tab.Start(testNow, "read").Allowed {
 			started++
 		}
 	}
 	assert.InDelta(t, 40, started, 1)
-	_, ok := tab.Start(testNow, "other")
-	assert.True(t, ok)
+	assert.Equal(t, "quality", tab.Start(testNow, "read").Service)
+	assert.Equal(t, Start{Share: 1, Allowed: true}, tab.Start(testNow, "other"))
 }
 
 // Guards against a share that nobody states any more holding for ever.
@@ -174,17 +177,41 @@
 		for range 15 {
 			e.Waited("read", 80*time.Millisecond)
 		}
-		e.Shares(now, 100)
+		e.Shares(now, 100, anywhere)
 	}
-	shares := asMap(e.Shares(now, 100))
+	shares := asMap(e.Shares(now, 100, anywhere))
 	assert.Less(t, shares["read"], 0.3)
 	assert.NotContains(t, shares, "signoff")
 	for range 100 {
 		now = play(e, nil, []load{{"read", 2, 2, 40 * time.Millisecond}}, now, 10)
 		e.Waited("read", 0)
-		e.Shares(now, 100)
+		e.Shares(now, 100, anywhere)
 	}
-	for _, s := range e.Shares(now, 100) {
+	for _, s := range e.Shares(now, 100, anywhere) {
 		assert.Equal(t, 1.0, s.Value)
 	}
 }
+
+// Guards against a route being refused for the demand of another one that is
+// restricted elsewhere and never comes.
+func TestDemandRefusedElsewhereLeavesRoom(t *testing.T) {
+	e := NewEstimator()
+	loads := []load{
+		{"batch", 2, 50, 40 * time.Millisecond}, // 200 slots, of which 10% come
+		{"ledger", 2, 10, 40 * time.Millisecond},
+	}
+	elsewhere := func(route string) float64 {
+		if route == "batch" {
+			return 0.1
+		}
+		return 1
+	}
+	now := testNow
+	for range 10 {
+		now = play(e, map[string]float64{"batch": 0.1}, loads, now, 20)
+		e.Shares(now, 100, elsewhere)
+	}
+	assert.NotContains(t, asMap(e.Shares(now, 100, elsewhere)), "ledger")
+	now = play(e, nil, loads, now, 200)
+	assert.Less(t, asMap(e.Shares(now, 100, anywhere))["ledger"], 0.6)
+}
--- a/core/rootshare/table.go
+++ b/core/rootshare/table.go
@@ -81,17 +81,22 @@
 func (t *Table) Share(now time.Time, route string) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.share(now, route)
+	share, _ := t.share(now, route)
+	return share
 }
 
-func (t *Table) share(now time.Time, route string) float64 {
-	share := 1.0
+// share returns the smallest share of a route and the service that states it.
+func (t *Table) share(now time.Time, route string) (share float64, service string) {
+	share = 1
 	for k, e := range t.entries {
-		if k.route == route {
-			share = min(share, e.aged(now))
+		if k.route != route {
+			continue
+		}
+		if v := e.aged(now); v < share {
+			share, service = v, k.service
 		}
 	}
-	return share
+	return share, service
 }
 
 func (e *entry) aged(now time.Time) float64 {
@@ -102,24 +107,44 @@
 	return min(1, e.value+(1-e.value)*late.Seconds()/opening.Seconds())
 }
 
-// Start decides whether a request of a route is started, and returns the share
-// that decided. Requests are dealt evenly: of any run of requests, the share is
-// started.
-func (t *Table) Start(now time.Time, route string) (share float64, start bool) {
+// Elsewhere returns the share of a route that services other than one state.
+func (t *Table) Elsewhere(now time.Time, service, route string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	share := 1.0
+	for k, e := range t.entries {
+		if k.route == route && k.service != service {
+			share = min(share, e.aged(now))
+		}
+	}
+	return share
+}
+
+// Start is the decision on one request and its inputs.
+type Start struct {
+	Share   float64
+	Service string // that states the share; empty if none restricts the route
+	Allowed bool
+}
+
+// Start decides whether a request of a route is started. Requests are dealt
+// evenly: of any run of requests, the share is started.
+func (t *Table) Start(now time.Time, route string) Start {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	share = t.share(now, route)
+	share, service := t.share(now, route)
 	if share >= 1 {
 		delete(t.credit, route)
-		return 1, true
+		return Start{Share: 1, Allowed: true}
 	}
+	out := Start{Share: share, Service: service}
 	credit := t.credit[route] + share
-	start = credit >= 1
-	if start {
+	if credit >= 1 {
 		credit--
+		out.Allowed = true
 	}
 	t.credit[route] = credit
-	return share, start
+	return out
 }
 
 // Stated returns the shares to pass on, the smallest first.
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -134,13 +134,17 @@
 // nil for a request of a client.
 func (g *Gateway) findParent(q *request, limit time.Duration) *lineage.Parent {
 	deadline := q.x.Arrived.Add(limit)
-	parent := g.running.Match(deadline)
-	if !g.calls.Observe(q.route.Name, limit, parent != nil) {
+	name := q.route.Name
+	makes := func(own string) bool { return g.calls.Makes(own, name) }
+	parent := g.running.Match(deadline, makes)
+	if !g.calls.Observe(name, limit, parent != nil) {
 		return nil
 	}
-	if parent == nil {
+	if parent != nil {
+		g.calls.Matched(parent.Own, name)
+	} else {
 		before, _ := q.x.ConnValue().(*lineage.Parent)
-		parent = g.running.Guess(q.x.Arrived, deadline, before)
+		parent = g.running.Guess(q.x.Arrived, deadline, before, makes)
 	}
 	if parent != nil {
 		q.x.SetConnValue(parent)
@@ -159,7 +163,7 @@
 		method: q.x.Request.Method, target: q.x.Request.RequestURI, host: q.x.Request.Host,
 		header: header, requestID: q.id, deadline: q.deadline,
 		meta: forwardMeta{
-			Service: q.service, Origin: g.cfg.Service, Route: q.root, Priority: q.priority, Call: q.parent != nil,
+			Service: q.service, Origin: g.cfg.Service, Own: q.route.Name, Route: q.root, Priority: q.priority, Call: q.parent != nil,
 			Started: q.started,
 		},
 	}
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -46,6 +46,7 @@
 	Service  string `json:"s"`           // service of the upstream
 	Upstream string `json:"u"`           // id of the upstream that is to run it
 	Origin   string `json:"o,omitempty"` // service of the host where it began
+	Own      string `json:"n,omitempty"` // its route
 	Route    string `json:"r,omitempty"` // route at the root of its call tree
 	Priority int    `json:"p"`           // priority of that route
 	Call     bool   `json:"c,omitempty"` // made by a running request
--- a/node/gateway/shares.go
+++ b/node/gateway/shares.go
@@ -13,7 +13,8 @@
 func (g *Gateway) stateShares(limit int) []shareMeta {
 	now := time.Now()
 	var out []shareMeta
-	for _, s := range g.demand.Shares(now, limit) {
+	elsewhere := func(route string) float64 { return g.shares.Elsewhere(now, g.cfg.Service, route) }
+	for _, s := range g.demand.Shares(now, limit, elsewhere) {
 		out = append(out, shareMeta{Service: g.cfg.Service, Route: s.Route, Value: s.Value})
 		g.shares.Hear(now, rootshare.Stated{Service: g.cfg.Service, Route: s.Route, Value: s.Value})
 	}
@@ -45,13 +46,13 @@
 
 // start decides whether a request of a client is started.
 func (g *Gateway) start(q *request) *verdict.Refusal {
-	share, ok := g.shares.Start(time.Now(), q.route.Name)
-	q.started = share
-	if ok {
+	decision := g.shares.Start(time.Now(), q.route.Name)
+	q.started = decision.Share
+	if decision.Allowed {
 		return nil
 	}
-	r := verdict.Refuse(verdict.Pressure, "a service below has no room")
-	wait := returnBase + time.Duration((1-share)*float64(returnSpread))
+	r := verdict.Refuse(verdict.Pressure, decision.Service+" has no room")
+	wait := returnBase + time.Duration((1-decision.Share)*float64(returnSpread))
 	r.RetryAfter = time.Duration((0.6 + 0.8*rand.Float64()) * float64(wait))
 	return r
 }
