lineage: tell first calls by the age of their parent, later ones by connection

Parents whose first call went to another stayed 'without a call' and drew every further one.

Change: succession only on the same connection; first calls go to the request whose age fits that of certain first calls best; matches teach without regard to what was learned before. rootshare: the least important route gives way first.

--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -6,6 +6,7 @@
 package lineage
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -17,8 +18,15 @@
 	early = 3 * time.Millisecond
 	late  = 4 * time.Millisecond
 	// succession is the time within which an upstream makes its next call
-	// after the answer to the one before.
-	succession = 8 * time.Millisecond
+	// after the answer to the one before, on the same connection.
+	succession = 2500 * time.Microsecond
+)
+
+const (
+	// initialAge is the age of a request at its first call until it is known.
+	initialAge = 20 * time.Millisecond
+	// ageWeight is the weight of one first call in the usual age.
+	ageWeight = 0.05
 )
 
 // Parent is a running request.
@@ -49,6 +57,7 @@
 type Register struct {
 	mu      sync.Mutex
 	running []*Parent
+	usual   map[string]float64 // seconds to the first call, by route
 }
 
 // Add registers a request when it is passed to the upstream.
@@ -92,49 +101,77 @@
 
 // Guess returns the running request that most likely makes a call whose own
 // time limit hides its parent, or nil. Before is the parent of the previous
-// call on the same connection, if any.
+// call on the same connection, if any: upstreams make the calls of one request
+// one after the other, on one connection. A call that follows no other is the
+// first of its parent, most likely of the one whose age fits best.
 func (r *Register) Guess(now, deadline time.Time, before *Parent, makes func(own string) bool) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if before != nil && before.place >= 0 && before.open == 0 && now.Sub(before.lastEnd) <= succession {
 		return before
 	}
-	var next, first, any *Parent
+	var first, other *Parent
+	distance := maxDistance
 	for _, p := range r.running {
-		if p.Deadline.Before(deadline.Add(-early)) || !makes(p.Own) {
+		if p.Deadline.Before(deadline.Add(-early)) || !makes(p.Own) || p.open > 0 {
 			continue // the call would have its limit, or another route
 		}
-		any = p
-		if p.open > 0 {
+		if p.calls > 0 {
+			if other == nil || p.lastEnd.After(other.lastEnd) {
+				other = p
+			}
 			continue
 		}
-		switch {
-		case p.calls == 0:
-			if first == nil || p.began.Before(first.began) {
-				first = p
-			}
-		case now.Sub(p.lastEnd) <= succession:
-			if next == nil || p.lastEnd.After(next.lastEnd) {
-				next = p
-			}
+		if d := r.distance(now, p); d < distance {
+			first, distance = p, d
 		}
 	}
-	for _, p := range []*Parent{next, first} {
-		if p != nil {
-			return p
-		}
+	if first != nil {
+		return first
+	}
+	return other
+}
+
+// maxDistance is the largest distance, a factor of five, at which a call may be
+// the first of a request.
+var maxDistance = math.Log(5)
+
+// distance compares the age of a request with that at which requests of its
+// route usually make their first call, on a logarithmic scale.
+func (r *Register) distance(now time.Time, p *Parent) float64 {
+	usual := r.usual[p.Own]
+	if usual == 0 {
+		usual = initialAge.Seconds()
 	}
-	return any
+	age := max(now.Sub(p.began).Seconds(), 0.001)
+	return math.Abs(math.Log(age / usual))
 }
 
-// Called counts a call of a request in progress; End ends it.
-func (r *Register) Called(p *Parent) {
+// Called counts a call of a request in progress; End ends it. Certain is set
+// if the deadline tells the parent.
+func (r *Register) Called(now time.Time, p *Parent, certain bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if certain && p.calls == 0 {
+		r.learn(p.Own, max(now.Sub(p.began).Seconds(), 0.001))
+	}
 	p.calls++
 	p.open++
 }
 
+// learn follows the age of requests at their first call. The mean of the
+// logarithms gives little weight to those that were called late.
+func (r *Register) learn(own string, age float64) {
+	if r.usual == nil {
+		r.usual = map[string]float64{}
+	}
+	usual := r.usual[own]
+	if usual == 0 {
+		usual = initialAge.Seconds()
+	}
+	r.usual[own] = math.Exp(math.Log(usual) + ageWeight*(math.Log(age)-math.Log(usual)))
+}
+
 // End reports that a call of a request was answered.
 func (r *Register) End(now time.Time, p *Parent) {
 	r.mu.Lock()
--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -40,7 +40,7 @@
 	// two services that restrict one route do not hold each other down.
 	elsewhereMargin = 1.25
 	// quiet is the demand, in slots, below which a route is forgotten.
-	quiet = 0.01
+	quiet = 0.05
 	// waitTarget is the queue time that a route's calls may have on average.
 	waitTarget = 12 * time.Millisecond
 	// waitSpan is the queue time above waitTarget at which a route is
@@ -53,7 +53,7 @@
 	// restrictPace is the relative decrease per second of the share of a route
 	// whose calls wait; openPace is the increase per second once they do not.
 	restrictPace = 2.5
-	openPace     = 0.35
+	openPace     = 0.6
 	// announce is how long the share of a route is stated after it was
 	// restricted, so that all nodes hear of the end.
 	announce = time.Second
@@ -164,18 +164,29 @@
 	}
 }
 
-// correct adapts the factors of the routes to their queue times.
+// correct adapts the factors of the routes to their queue times. Of the routes
+// in use, the least important ones give way first: a more important one that
+// waits is restricted only once nothing can be taken from them.
 func (e *Estimator) correct(passed time.Duration) {
 	fade := math.Exp(-passed.Seconds() / waitLife.Seconds())
+	worst, last := 0.0, -1
 	for _, d := range e.routes {
 		d.wait *= fade // a route without calls must not stay restricted
-		over := (d.wait - waitTarget.Seconds()) / waitSpan.Seconds()
-		if over > 0 {
+		worst = max(worst, d.wait)
+		if d.slots > quiet && d.factor > MinShare {
+			last = max(last, d.priority)
+		}
+	}
+	over := (worst - waitTarget.Seconds()) / waitSpan.Seconds()
+	for _, d := range e.routes {
+		if over <= 0 {
+			d.factor = min(1, d.factor+openPace*passed.Seconds())
+			continue
+		}
+		if d.priority == last {
 			d.factor *= math.Exp(-restrictPace * min(over, 1) * passed.Seconds())
 			d.factor = max(d.factor, MinShare)
-			continue
 		}
-		d.factor = min(1, d.factor+openPace*passed.Seconds())
 	}
 }
 
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -30,6 +30,7 @@
 	route    *routetable.Route
 	service  string
 	parent   *lineage.Parent // nil for a request of a client
+	certain  bool            // the parent is told by its deadline
 	priority int
 	root     string  // route at the root of the call tree
 	started  float64 // probability with which requests of the root are started
@@ -57,7 +58,7 @@
 		return
 	}
 	if q.parent != nil {
-		g.running.Called(q.parent)
+		g.running.Called(q.x.Arrived, q.parent, q.certain)
 	}
 	f, err := g.prepare(q)
 	if err != nil {
@@ -136,13 +137,19 @@
 	deadline := q.x.Arrived.Add(limit)
 	name := q.route.Name
 	makes := func(own string) bool { return g.calls.Makes(own, name) }
-	parent := g.running.Match(deadline, makes)
+	parent := g.running.Match(deadline, anyRoute)
 	if !g.calls.Observe(name, limit, parent != nil) {
 		return nil
 	}
 	if parent != nil {
 		g.calls.Matched(parent.Own, name)
-	} else {
+		if !makes(parent.Own) {
+			// It matches by chance; another one may match as well.
+			parent = g.running.Match(deadline, makes)
+		}
+	}
+	q.certain = parent != nil
+	if parent == nil {
 		before, _ := q.x.ConnValue().(*lineage.Parent)
 		parent = g.running.Guess(q.x.Arrived, deadline, before, makes)
 	}
@@ -152,6 +159,8 @@
 	return parent
 }
 
+func anyRoute(string) bool { return true }
+
 // prepare reads the body and builds the attempt.
 func (g *Gateway) prepare(q *request) (*forward, error) {
 	header := q.x.Request.Header
