--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	ctx, cancel := context.WithDeadline(x.Context(), q.deadline.Add(answerGrace))
+	ctx, cancel := context.WithDeadline(x.Context(), q.deadline.Add(replyGrace))
 	defer cancel()
 	g.budget.Request(time.Now(), q.service)
 	r := g.serve(ctx, q, f)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -197,3 +197,12 @@
 
 // StoreCall counts a call to the store in the metrics.
 func (g *Gateway) StoreCall(call string, err error) { g.cfg.Metrics.StoreCall(call, err) }
+
+// Upstreams returns the number of upstreams of a service in the node's view.
+func (g *Gateway) Upstreams(service string) int {
+	hosts := g.hosts.Load()
+	if hosts == nil {
+		return 0
+	}
+	return len(hosts.Service(service))
+}
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -21,9 +21,11 @@
 	wholeAnswer = 256 << 10
 	// minLeft is the shortest time left with which a request is sent.
 	minLeft = 3 * time.Millisecond
-	// answerGrace is the time beyond a deadline in which the upstream's own
-	// answer to it is awaited.
-	answerGrace = 60 * time.Millisecond
+	// upstreamGrace is the time beyond a deadline in which the upstream's own
+	// answer to it is awaited; replyGrace is the time in which the node that
+	// guards it tells of it.
+	upstreamGrace = 40 * time.Millisecond
+	replyGrace    = 80 * time.Millisecond
 )
 
 // guard runs a request at the local upstream when a slot is free.
@@ -123,12 +125,12 @@
 		g.release(entry, service)
 		g.demand.Ended(f.meta.Route, time.Since(started))
 	}
-	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(answerGrace))
+	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(upstreamGrace))
 	response, err := g.upstream.Do(ctx, g.cfg.Upstream.String(), g.upstreamCall(f, left))
 	if err != nil {
-		cancel()
+		defer cancel()
 		end(0)
-		return callFailed(err)
+		return callFailed(ctx, err)
 	}
 	r := g.readAnswer(response)
 	r.meta.WaitedUS = entry.Waited(started).Microseconds()
@@ -171,12 +173,16 @@
 			{Name: names.CallerService, Value: f.meta.Origin},
 		},
 		Body: f.body, Stream: f.stream, Length: f.length,
-		Accept: func(r *http.Response) bool { return r.Header.Get(names.RequestID) == f.requestID },
+		Accept: func(r *http.Response) bool {
+			// Refusals may come without an id.
+			id := r.Header.Get(names.RequestID)
+			return id == f.requestID || id == "" && !success(r.StatusCode)
+		},
 	}
 }
 
 // callFailed classifies an attempt without a response.
-func callFailed(err error) *reply {
+func callFailed(ctx context.Context, err error) *reply {
 	var call *h1.CallError
 	if errors.As(err, &call) && !call.Sent {
 		return failed(verdict.NotRun, verdict.UpstreamFailed, err.Error())
@@ -185,7 +191,7 @@
 	switch {
 	case errors.Is(err, context.Canceled):
 		reason = verdict.Cancelled
-	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
+	case expired(ctx):
 		reason = verdict.DeadlinePassed
 	}
 	r := failed(verdict.MayHaveRun, reason, err.Error())
@@ -193,6 +199,13 @@
 	return r
 }
 
+// expired reports that the deadline of a context has passed. The timer of the
+// context may fire a little later than that of a connection.
+func expired(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -95,7 +95,7 @@
 	if errors.As(err, &call) && !call.Sent {
 		return failed(verdict.NotRun, verdict.OwnerGone, err.Error()), false
 	}
-	if ctx.Err() == nil && isTimeout(err) {
+	if !expired(ctx) && isTimeout(err) {
 		// The connection has gone silent, and so may have the others.
 		g.peers.CloseIdle(peer)
 	}
@@ -103,7 +103,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		reason = verdict.Cancelled
-	case ctx.Err() != nil:
+	case expired(ctx):
 		reason = verdict.DeadlinePassed
 	}
 	return failed(verdict.MayHaveRun, reason, err.Error()), true
