rootshare: restrict only routes that matter, and by their own wait

One upstream of the deepest service was left. A few calls attributed to ledger-read, divided by its small share, held it at its minimum; sign-offs were refused because batch calls waited behind them, so that the service stood idle every other second.

Change: routes below 2.5% of the arrivals are not restricted; a route is restricted for the wait of itself and of more important ones only; the minimum share is 0.05.

--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -35,10 +35,14 @@
 	initialCost = 40 * time.Millisecond
 	// MinShare of each route is started even if nothing of it should fit, so
 	// that no route starves and a change is noticed.
-	MinShare = 0.08
+	MinShare = 0.05
 	// elsewhereMargin is added to the share that other services leave, so that
 	// two services that restrict one route do not hold each other down.
 	elsewhereMargin = 1.25
+	// notable is the part of all arrivals that a route must cause to be
+	// restricted. Below it, refusing the route frees nothing, and a few calls
+	// that were attributed to the wrong route would close it.
+	notable = 0.025
 	// quiet is the demand, in slots, below which a route is forgotten.
 	quiet = 0.05
 	// waitTarget is the queue time that a route's calls may have on average.
@@ -79,6 +83,7 @@
 type demand struct {
 	priority   int
 	slots      float64 // estimated demand
+	arrived    float64 // demand that arrives, after refusals
 	cost       float64 // mean seconds per call
 	wait       float64 // mean seconds in the queue
 	factor     float64 // correction of the share for what the wait hides
@@ -101,7 +106,9 @@
 		e.routes[route] = d
 	}
 	d.priority = priority
-	d.slots += d.cost / min(max(started, MinShare), 1) / window.Seconds()
+	arrived := d.cost / window.Seconds()
+	d.arrived += arrived
+	d.slots += arrived / min(max(started, MinShare), 1)
 }
 
 // Ended takes the time that a call of a route held a slot.
@@ -158,34 +165,41 @@
 	factor := math.Exp(-age.Seconds() / window.Seconds())
 	for route, d := range e.routes {
 		d.slots *= factor
+		d.arrived *= factor
 		if d.slots < quiet && now.Sub(d.restricted) > announce {
 			delete(e.routes, route)
 		}
 	}
 }
 
-// correct adapts the factors of the routes to their queue times. Of the routes
-// in use, the least important ones give way first: a more important one that
-// waits is restricted only once nothing can be taken from them.
+// correct adapts the factors of the routes to their queue times. The least
+// important routes in use give way first: a more important one is restricted
+// once nothing can be taken from them, and only if it waits itself.
 func (e *Estimator) correct(passed time.Duration) {
 	fade := math.Exp(-passed.Seconds() / waitLife.Seconds())
-	worst, last := 0.0, -1
+	last := -1
 	for _, d := range e.routes {
 		d.wait *= fade // a route without calls must not stay restricted
-		worst = max(worst, d.wait)
 		if d.slots > quiet && d.factor > MinShare {
 			last = max(last, d.priority)
 		}
 	}
+	worst := 0.0
+	for _, d := range e.routes {
+		if d.priority <= last {
+			worst = max(worst, d.wait)
+		}
+	}
 	over := (worst - waitTarget.Seconds()) / waitSpan.Seconds()
 	for _, d := range e.routes {
-		if over <= 0 {
+		switch {
+		case over <= 0 && d.priority <= last:
 			d.factor = min(1, d.factor+openPace*passed.Seconds())
-			continue
-		}
-		if d.priority == last {
+		case over > 0 && d.priority == last:
 			d.factor *= math.Exp(-restrictPace * min(over, 1) * passed.Seconds())
 			d.factor = max(d.factor, MinShare)
+		case d.priority > last && d.wait <= waitTarget.Seconds():
+			d.factor = min(1, d.factor+openPace*passed.Seconds())
 		}
 	}
 }
@@ -193,9 +207,15 @@
 // divide gives the capacity to the routes in order of their priority. Routes
 // of one priority get the same share.
 func (e *Estimator) divide(now time.Time, capacity float64) {
+	total := 0.0
+	for _, d := range e.routes {
+		total += d.arrived
+	}
 	names := make([]string, 0, len(e.routes))
-	for name := range e.routes {
-		names = append(names, name)
+	for name, d := range e.routes {
+		if d.arrived >= notable*total {
+			names = append(names, name)
+		}
 	}
 	sort.Slice(names, func(i, j int) bool {
 		a, b := e.routes[names[i]], e.routes[names[j]]
--- a/core/rootshare/rootshare_test.go
+++ b/core/rootshare/rootshare_test.go
@@ -215,3 +215,30 @@
 	now = play(e, nil, loads, now, 200)
 	assert.Less(t, asMap(e.Shares(now, 100, anywhere))["ledger"], 0.6)
 }
+
+// Guards against a route being closed by a few calls of others that were
+// attributed to it.
+func TestFewCallsDoNotCloseARoute(t *testing.T) {
+	e := NewEstimator()
+	now := testNow
+	shares := map[string]float64{"read": MinShare}
+	for range 20 {
+		now = play(e, shares, []load{{"signoff", 0, 60, 40 * time.Millisecond}, {"read", 2, 5, 40 * time.Millisecond}}, now, 20)
+		assert.NotContains(t, asMap(e.Shares(now, 100, anywhere)), "read")
+	}
+}
+
+// Guards against an important route being refused because a less important one
+// waits behind it.
+func TestWaitOfLesserRoutesDoesNotRestrictImportantOnes(t *testing.T) {
+	e := NewEstimator()
+	now := testNow
+	for range 200 {
+		now = play(e, nil, []load{{"signoff", 0, 15, 40 * time.Millisecond}, {"read", 2, 2, 40 * time.Millisecond}}, now, 5)
+		for range 10 {
+			e.Waited("read", 200*time.Millisecond)
+			e.Waited("signoff", time.Millisecond)
+		}
+		assert.NotContains(t, asMap(e.Shares(now, 100, anywhere)), "signoff")
+	}
+}
