--- a/node/h1/client.go
+++ b/node/h1/client.go
@@ -104,7 +104,7 @@
 		go func() { wrote <- call.write(r.conn.bw) }()
 	}
 	for {
-		response, err := readResponse(r.conn.br, call.Method)
+		response, err := readResponse(r.conn.br, call.Method) //nolint:bodyclose // ends with its connection
 		if err != nil {
 			return err
 		}
--- a/node/h1/exchange.go
+++ b/node/h1/exchange.go
@@ -20,7 +20,6 @@
 
 	conn       *serverConn
 	ctx        context.Context
-	cancel     context.CancelFunc
 	turn       <-chan struct{} // closed when the earlier answers are written
 	done       chan struct{}   // closed when this one is
 	finishOnce sync.Once
