outcome: a restarted node does not vouch for its predecessor; fewer store calls, less memory

Entries in the store change with their state only, not with each heartbeat: 308 of 600 watches of the local upstream ended empty and were followed by a read.

Change: a question for an outcome carries the time since the request was sent; a process that began later answers that it may have run. The local upstream is watched for 15 s at a time without reads between.

--- a/cmd/toucangwd/gateway.go
+++ b/cmd/toucangwd/gateway.go
@@ -35,7 +35,7 @@
 // serveGateway runs a node until SIGTERM or SIGINT. SIGHUP reads the settings
 // again; those that need a restart are reported.
 func serveGateway(path string, s *settings.Gateway, stdout, stderr io.Writer) int {
-	node.Tune()
+	node.TuneGateway()
 	logs, err := telemetry.NewLogs(stdout, "json", s.LogLevel.String())
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -15,8 +15,11 @@
 
 // States of a key.
 const (
+	// Unseen keys are fenced by the question for them: this process never ran
+	// such a request and never will. An earlier process on the host may have.
+	Unseen State = iota
 	// Fenced requests have not run and never will.
-	Fenced State = iota
+	Fenced
 	Queued
 	Running
 	Done
@@ -109,7 +112,7 @@
 	if r == nil {
 		l.keys[key] = &record[A]{state: Fenced, changed: now}
 		l.mu.Unlock()
-		return Fenced
+		return Unseen
 	}
 	r.changed = now
 	switch r.state {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -81,6 +81,7 @@
 	log      *decisionLog
 
 	inflight atomic.Int64
+	began    time.Time
 }
 
 const (
@@ -108,6 +109,7 @@
 		upstream: h1.NewPool(h1.Timeouts{Dial: upstreamDialTimeout, Idle: upstreamIdle}),
 		keys:     newKeySource(cfg.Host),
 		log:      newDecisionLog(cfg.Logger),
+		began:    time.Now(),
 	}
 }
 
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -57,6 +57,9 @@
 	WaitMS  int64   `json:"w,omitempty"` // longest time in the queue, milliseconds
 	Key     string  `json:"k,omitempty"` // set if it may run at most once
 	Version uint64  `json:"v,omitempty"` // configuration in force at the sender
+	// AgeMS is set in a question for an outcome: the time since the request
+	// was sent, milliseconds.
+	AgeMS int64 `json:"a,omitempty"`
 }
 
 // reply is the end of an attempt as the guarding node tells it.
--- /dev/null
+++ b/node/gateway/outcome_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"toucangw.example/core/verdict"
+)
+
+func testGateway() *Gateway {
+	return New(Config{
+		Host: "h", Zone: "z", Service: "s", Upstream: netip.MustParseAddrPort("127.0.0.1:9"),
+		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Metrics: NewMetrics(),
+	})
+}
+
+// Guards against a node that was restarted after a request had been sent to its
+// host calling it not run: the earlier process may have run it.
+func TestRestartedNodeDoesNotVouchForItsPredecessor(t *testing.T) {
+	g := testGateway()
+	ctx, deadline := context.Background(), time.Now().Add(time.Second)
+	r := g.outcome(ctx, "sent before the start", time.Second, deadline)
+	assert.Equal(t, verdict.MayHaveRun, r.meta.verdict())
+	g.began = g.began.Add(-time.Minute)
+	r = g.outcome(ctx, "sent after the start", time.Second, deadline)
+	assert.Equal(t, verdict.NotRun, r.meta.verdict())
+	assert.False(t, g.ledger.Begin(time.Now(), "sent after the start"), "the question fences the key")
+}
+
+// Guards the wait for the answer of a running request.
+func TestOutcomeWaitsForARunningRequest(t *testing.T) {
+	g := testGateway()
+	g.ledger.Begin(time.Now(), "k")
+	g.ledger.Start(time.Now(), "k")
+	r := g.outcome(context.Background(), "k", 0, time.Now().Add(20*time.Millisecond))
+	assert.Equal(t, verdict.MayHaveRun, r.meta.verdict())
+	time.AfterFunc(20*time.Millisecond, func() {
+		g.ledger.Finish(time.Now(), "k", failed(verdict.Run, verdict.NotWhole, ""))
+	})
+	r = g.outcome(context.Background(), "k", 0, time.Now().Add(time.Second))
+	assert.Equal(t, verdict.Run, r.meta.verdict())
+}
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -22,6 +22,8 @@
 	// two of them.
 	askTimeout = 700 * time.Millisecond
 	askPause   = 30 * time.Millisecond
+	// ageMargin allows for clocks of two hosts that do not run alike.
+	ageMargin = 250 * time.Millisecond
 )
 
 // send makes one attempt at an upstream, through the node beside it.
@@ -31,9 +33,10 @@
 		return g.guard(ctx, f)
 	}
 	peer := g.peerAddress(u)
-	r, sent := g.sendPeer(ctx, peer, f)
-	if sent && f.meta.Key != "" && ctx.Err() == nil {
-		return g.ask(ctx, peer, f.meta.Key)
+	sent := time.Now()
+	r, lost := g.sendPeer(ctx, peer, f)
+	if lost && f.meta.Key != "" && ctx.Err() == nil {
+		return g.ask(ctx, peer, f.meta.Key, sent)
 	}
 	return r
 }
@@ -139,13 +142,15 @@
 
 // ask finds out what became of a request that may run at most once, after the
 // connection that carried it was lost.
-func (g *Gateway) ask(ctx context.Context, peer, key string) *reply {
+func (g *Gateway) ask(ctx context.Context, peer, key string, sent time.Time) *reply {
 	last := failed(verdict.MayHaveRun, verdict.ConnectionLost, "node does not tell the outcome")
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, askTimeout)
 		call := &h1.Call{
 			Method: http.MethodGet, Target: outcomePath, Host: peer,
-			Extra: []h1.Field{{Name: forwardHeader, Value: encode(&forwardMeta{Key: key, LeftMS: leftMS(ctx)})}},
+			Extra: []h1.Field{{Name: forwardHeader, Value: encode(&forwardMeta{
+				Key: key, LeftMS: leftMS(ctx), AgeMS: time.Since(sent).Milliseconds(),
+			})}},
 		}
 		r, lost := g.peerCall(attempt, peer, call)
 		cancel()
@@ -188,7 +193,7 @@
 	g.compareVersion(meta.Version, g.peerOf(x))
 	deadline := x.Arrived.Add(time.Duration(meta.LeftMS) * time.Millisecond)
 	if x.Request.RequestURI == outcomePath && meta.Service == "" {
-		g.respondPeer(x, g.outcome(x.Context(), meta.Key, deadline))
+		g.respondPeer(x, g.outcome(x.Context(), meta.Key, time.Duration(meta.AgeMS)*time.Millisecond, deadline))
 		return
 	}
 	f, err := g.forwarded(x, meta, deadline)
@@ -248,10 +253,14 @@
 }
 
 // outcome tells what became of a key, and waits for a running request.
-func (g *Gateway) outcome(ctx context.Context, key string, deadline time.Time) *reply {
+func (g *Gateway) outcome(ctx context.Context, key string, age time.Duration, deadline time.Time) *reply {
 	answered := make(chan *reply, 1)
 	state := g.ledger.Ask(time.Now(), key, func(r *reply) { answered <- r })
-	if state == outcome.Fenced {
+	if state == outcome.Unseen && time.Since(g.began) < age+ageMargin {
+		// An earlier process on this host may have run it.
+		return failed(verdict.MayHaveRun, verdict.KeyUnknown, "node started after the request was sent")
+	}
+	if state == outcome.Unseen || state == outcome.Fenced {
 		return failed(verdict.NotRun, verdict.KeyFenced, "fenced before it began")
 	}
 	timer := time.NewTimer(time.Until(deadline))
--- a/node/storefeed/feed.go
+++ b/node/storefeed/feed.go
@@ -22,12 +22,10 @@
 	// configPoll is the interval of stale reads beside the watch, which a
 	// silent connection or a cut watch cannot delay.
 	configPoll = time.Second
-	// ownWait is the length of one watch of the local upstream's entry, which
-	// changes with each heartbeat. A watch that hears nothing for longer is
-	// followed by a read.
-	ownWait = 1800 * time.Millisecond
+	// ownWait is the length of one watch of the local upstream's entry.
+	ownWait = 15 * time.Second
 	// listPoll is the interval of reads of all entries.
-	listPoll = 700 * time.Millisecond
+	listPoll = 900 * time.Millisecond
 	// startPoll is the interval of reads until the first has succeeded.
 	startPoll = 100 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
@@ -233,7 +231,7 @@
 
 // fleetReads is the number of linearizable reads of the configuration that all
 // nodes together make in a second beside their watches.
-const fleetReads = 2
+const fleetReads = 1
 
 func (f *Feed) freshInterval() time.Duration {
 	f.mu.Lock()
@@ -433,14 +431,15 @@
 		})
 		return change, err
 	}
-	err := f.call(ctx, "upstream-watch", ownWait+callTimeout/2, func(ctx context.Context) error {
+	err := f.call(ctx, "upstream-watch", ownWait+callTimeout, func(ctx context.Context) error {
 		var err error
 		change, err = f.cfg.Source.WatchUpstream(ctx, id, after, ownWait)
 		return err
 	})
 	if err == nil && change.Upstream == nil && !change.Gone {
-		// No heartbeat: the watch may be deaf, so the entry is read.
-		change.Revision = 0
+		// The revision is kept: a watch that was deaf for a while must not
+		// skip what it missed.
+		change.Revision = after
 	}
 	return change, err
 }
--- a/node/storefeed/source.go
+++ b/node/storefeed/source.go
@@ -1,11 +1,11 @@
 // Package storefeed keeps a node's configuration and its view of the upstreams
 // up to date from a store that can only be read.
 //
-// The configuration is watched, since it changes rarely. The list of upstreams
-// changes with every heartbeat, so that a watch would wake for each of them;
-// it is polled with cheap stale reads. Only the entry of the local upstream is
-// watched: the node is the only way to it, so that a leaving upstream gets no
-// new work once its own node knows.
+// The configuration and the entry of the local upstream are watched, since they
+// change rarely: the node is the only way to that upstream, so that one that
+// leaves gets no new work once its own node knows. The list of all upstreams is
+// polled with cheap stale reads; a watch of it would wake every node of the
+// fleet for each upstream that comes or goes.
 package storefeed
 
 import (
--- a/node/tune.go
+++ b/node/tune.go
@@ -36,3 +36,24 @@
 		runtime.GOMAXPROCS(min(maxProcs, runtime.GOMAXPROCS(0)))
 	}
 }
+
+const (
+	// gatewayGCPercent and gatewayMemoryLimit trade a little processor time
+	// for memory, which small hosts have less of: a gateway allocates short
+	// lived buffers only.
+	gatewayGCPercent   = 200
+	gatewayMemoryLimit = 56 << 20
+)
+
+// TuneGateway does what Tune does for a node in gateway mode.
+func TuneGateway() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gatewayGCPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(gatewayMemoryLimit)
+	}
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(maxProcs, runtime.GOMAXPROCS(0)))
+	}
+}
