storefeed: a node that starts without the store takes its view from another node

Change: a request from another node names the sender's peer listener and its configuration version; a node without a configuration asks the sender for its configuration and its view of the upstreams.

--- a/cmd/toucangwd/gateway.go
+++ b/cmd/toucangwd/gateway.go
@@ -49,7 +49,7 @@
 	g := gateway.New(cfg)
 	feed = storefeed.New(storefeed.Config{
 		Source: platform.NewStore(s.Store.String(), logger), Sink: g, Logger: logger,
-		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall, FromPeer: g.PeerConfig,
+		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall, FromPeer: g.View,
 	})
 	srv, err := gateway.NewServer(g, s, logger, platform.ReadinessPath, platform.MetricsPath)
 	if err != nil {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -82,6 +82,7 @@
 
 	inflight atomic.Int64
 	began    time.Time
+	self     string // own peer listener
 }
 
 const (
@@ -110,6 +111,7 @@
 		keys:     newKeySource(cfg.Host),
 		log:      newDecisionLog(cfg.Logger),
 		began:    time.Now(),
+		self:     netip.AddrPortFrom(cfg.Upstream.Addr(), cfg.PeerPort).String(),
 	}
 }
 
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -22,10 +22,11 @@
 	replyHeader   = "Toucangw-Reply"
 	// outcomePath asks for the outcome of a request by its key.
 	outcomePath = "/toucangw/outcome"
-	// configPath asks for the configuration document of a node.
-	configPath = "/toucangw/config"
-	// maxDocument is the largest value of the store.
-	maxDocument = 1 << 20
+	// viewPath asks for the configuration and the upstreams that a node knows.
+	viewPath = "/toucangw/view"
+	// maxView holds the largest value of the store in base64, and the entries
+	// of some ten thousand upstreams.
+	maxView = 8 << 20
 )
 
 // forward is one attempt at one upstream.
@@ -57,6 +58,8 @@
 	WaitMS  int64   `json:"w,omitempty"` // longest time in the queue, milliseconds
 	Key     string  `json:"k,omitempty"` // set if it may run at most once
 	Version uint64  `json:"v,omitempty"` // configuration in force at the sender
+	// Sender is the peer listener of the sending node.
+	Sender string `json:"h,omitempty"`
 	// AgeMS is set in a question for an outcome: the time since the request
 	// was sent, milliseconds.
 	AgeMS int64 `json:"a,omitempty"`
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -50,6 +49,7 @@
 // it and that its reply is missing.
 func (g *Gateway) sendPeer(ctx context.Context, peer string, f *forward) (r *reply, lost bool) {
 	f.meta.LeftMS = time.Until(f.deadline).Milliseconds()
+	f.meta.Sender = g.self
 	call := &h1.Call{
 		Method: f.method, Target: f.target, Host: f.host, Header: f.header,
 		Extra: []h1.Field{
@@ -186,11 +186,11 @@
 		_ = x.Respond(h1.NewAnswer(http.StatusBadRequest, nil, nil))
 		return
 	}
-	if x.Request.RequestURI == configPath && meta.Service == "" {
-		g.respondConfig(x)
+	if x.Request.RequestURI == viewPath && meta.Service == "" {
+		g.respondView(x)
 		return
 	}
-	g.compareVersion(meta.Version, g.peerOf(x))
+	g.compareVersion(meta.Version, meta.Sender)
 	deadline := x.Arrived.Add(time.Duration(meta.LeftMS) * time.Millisecond)
 	if x.Request.RequestURI == outcomePath && meta.Service == "" {
 		g.respondPeer(x, g.outcome(x.Context(), meta.Key, time.Duration(meta.AgeMS)*time.Millisecond, deadline))
@@ -287,41 +287,49 @@
 	}
 }
 
-// peerOf is the peer listener of the node that sent a request.
-func (g *Gateway) peerOf(x *h1.Exchange) string {
-	host, _, err := net.SplitHostPort(x.Remote())
-	if err != nil {
-		return ""
-	}
-	return net.JoinHostPort(host, strconv.Itoa(int(g.cfg.PeerPort)))
+// PeerView is what a node hands to another one that knows less.
+type PeerView struct {
+	// Document is the configuration in force.
+	Document []byte `json:"document"`
+	// Revision of the store at which the upstreams were read.
+	Revision  uint64               `json:"revision"`
+	Upstreams []directory.Upstream `json:"upstreams"`
 }
 
-// respondConfig hands the configuration in force on to another node.
-func (g *Gateway) respondConfig(x *h1.Exchange) {
-	c := g.routes.Load()
-	if c == nil {
+// respondView hands the node's view to another node.
+func (g *Gateway) respondView(x *h1.Exchange) {
+	c, hosts := g.routes.Load(), g.hosts.Load()
+	if c == nil || hosts == nil {
 		_ = x.Respond(h1.NewAnswer(http.StatusNotFound, nil, nil))
 		return
 	}
-	_ = x.Respond(h1.NewAnswer(http.StatusOK, nil, c.Document))
+	view := PeerView{Document: c.Document, Revision: hosts.Revision}
+	for _, u := range hosts.All() {
+		view.Upstreams = append(view.Upstreams, *u)
+	}
+	_ = x.Respond(h1.NewAnswer(http.StatusOK, nil, []byte(encode(&view))))
 }
 
-// PeerConfig asks another node for its configuration document.
-func (g *Gateway) PeerConfig(ctx context.Context, peer string) ([]byte, error) {
+// View asks another node for its view.
+func (g *Gateway) View(ctx context.Context, peer string) ([]byte, *directory.Snapshot, error) {
 	response, err := g.peers.Do(ctx, peer, &h1.Call{
-		Method: http.MethodGet, Target: configPath, Host: peer,
+		Method: http.MethodGet, Target: viewPath, Host: peer,
 		Extra: []h1.Field{{Name: forwardHeader, Value: encode(&forwardMeta{})}},
 	})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	body, whole, err := response.ReadBody(maxDocument)
+	body, whole, err := response.ReadBody(maxView)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if !whole || response.Status != http.StatusOK {
 		response.Close()
-		return nil, fmt.Errorf("status %d, %d bytes", response.Status, len(body))
+		return nil, nil, fmt.Errorf("status %d, %d bytes", response.Status, len(body))
+	}
+	var view PeerView
+	if err := json.Unmarshal(body, &view); err != nil {
+		return nil, nil, fmt.Errorf("view of a node: %w", err)
 	}
-	return body, nil
+	return view.Document, directory.NewSnapshot(view.Revision, view.Upstreams), nil
 }
--- a/node/storefeed/feed.go
+++ b/node/storefeed/feed.go
@@ -48,8 +48,9 @@
 	Logger  *slog.Logger
 	// Count is told of each call.
 	Count func(call string, err error)
-	// FromPeer asks another node for its configuration document.
-	FromPeer func(ctx context.Context, peer string) ([]byte, error)
+	// FromPeer asks another node for its configuration document and its view
+	// of the upstreams.
+	FromPeer func(ctx context.Context, peer string) ([]byte, *directory.Snapshot, error)
 }
 
 // hint tells that a node has a newer configuration.
@@ -279,15 +280,26 @@
 	return version > f.version
 }
 
-// fetch takes the configuration of another node over.
+// blind reports that no upstreams are known yet.
+func (f *Feed) blind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list == nil
+}
+
+// fetch takes the configuration of another node over, and its view of the
+// upstreams if this node has none: the store may be away since its start.
 func (f *Feed) fetch(ctx context.Context, peer string) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
 	defer cancel()
-	document, err := f.cfg.FromPeer(ctx, peer)
+	document, hosts, err := f.cfg.FromPeer(ctx, peer)
 	if err == nil {
 		var c *routetable.Config
 		if c, err = f.cfg.Source.Decode(document); err == nil {
 			f.adopt(c, "node "+peer)
+			if f.blind() {
+				f.takeList(hosts, "node "+peer)
+			}
 			return true
 		}
 	}
@@ -307,7 +319,7 @@
 			return err
 		})
 		if err == nil && read.Len() > 0 {
-			f.takeList(read)
+			f.takeList(read, "store")
 			interval, stale = listPoll, true
 		}
 		pause(ctx, interval)
@@ -315,7 +327,7 @@
 }
 
 // takeList merges a read into the view.
-func (f *Feed) takeList(read *directory.Snapshot) {
+func (f *Feed) takeList(read *directory.Snapshot, source string) {
 	now := time.Now()
 	f.mu.Lock()
 	if !f.lastRead.IsZero() && now.Sub(f.lastRead) > outage {
@@ -327,7 +339,7 @@
 		return // a stale read of an older state
 	}
 	keep := !f.regained.IsZero() && now.Sub(f.regained) < returnTime
-	f.logChanges(f.list, read)
+	f.logChanges(f.list, read, source)
 	f.list = directory.Merge(f.list, read, keep)
 	list := f.list
 	own := f.findOwn(list)
@@ -343,9 +355,9 @@
 
 // logChanges writes a line for each upstream that came, left or changed its
 // state.
-func (f *Feed) logChanges(old, read *directory.Snapshot) {
+func (f *Feed) logChanges(old, read *directory.Snapshot, source string) {
 	if old == nil {
-		f.cfg.Logger.Info("upstreams read", "upstreams", read.Len(), "revision", read.Revision)
+		f.cfg.Logger.Info("upstreams read", "upstreams", read.Len(), "revision", read.Revision, "source", source)
 		return
 	}
 	for _, u := range read.All() {
