balance: refuse at once where all upstreams fail again and again; trace, metrics and settings pages

Change: upstreams that failed more than once get one request per test only; without another one the request is refused at once. Each decision logs the parent of a call and the configuration version; toucangwctl trace tells the story of a request from the logs of many nodes. Connections beyond 2,000 are closed after one answer. Shares are given out of 98% of the capacity.

--- a/cmd/toucangwctl/show_test.go
+++ b/cmd/toucangwctl/show_test.go
@@ -94,7 +94,7 @@
 
 // Guards against a query whose result scripts cannot read.
 func TestQueriesHaveJSON(t *testing.T) {
-	for _, name := range []string{"check", "show", "key", "loglevel", "demo"} {
+	for _, name := range []string{"check", "show", "key", "loglevel", "demo", "trace"} {
 		require.Contains(t, runTool(name, "--help").out, "--json", name)
 	}
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -36,7 +36,7 @@
 	maxSlowness = 20
 	// firstSuspension doubles with each failed contact up to maxSuspension.
 	firstSuspension = 250 * time.Millisecond
-	maxSuspension   = 3 * time.Second
+	maxSuspension   = 2 * time.Second
 	// leavingFor is how long an upstream that refused because it or its node
 	// leaves is avoided. Its entry in the directory changes meanwhile, or its
 	// node is back.
@@ -134,8 +134,10 @@
 	return best
 }
 
-// usable returns the upstreams that take new work. If all are suspended, the
-// suspended ones are returned: one of them may be back.
+// usable returns the upstreams that take new work. If all are suspended, those
+// that failed only once are returned. Where all have failed again and again,
+// there is none between two tests: a request that would only wait for another
+// failure is refused at once.
 func (b *Balancer) usable(now time.Time, list []*directory.Upstream, skip func(*directory.Upstream) bool) []*directory.Upstream {
 	var open, suspended []*directory.Upstream
 	for _, u := range list {
@@ -143,7 +145,9 @@
 			continue
 		}
 		if h := b.hosts[u.ID]; h != nil && now.Before(h.suspended) {
-			suspended = append(suspended, u)
+			if h.suspension <= firstSuspension {
+				suspended = append(suspended, u)
+			}
 			continue
 		}
 		open = append(open, u)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -101,6 +101,27 @@
 	require.NotNil(t, only.Upstream, "a suspended upstream is better than none")
 }
 
+// Guards against requests being held for connections that time out one after
+// the other, as in a zone that is cut off and has no upstream of a service.
+func TestNoUpstreamWhileAllFailAgainAndAgain(t *testing.T) {
+	b := New("a")
+	list := upstreams("b", "b")
+	now := testNow
+	for range 3 {
+		for _, u := range list {
+			b.Ended(now, u.ID, Result{Unreachable: true})
+		}
+	}
+	assert.Nil(t, b.Pick(now, list, all).Upstream)
+	now = now.Add(maxSuspension)
+	first, second := b.Pick(now, list, all), b.Pick(now, list, all)
+	assert.NotNil(t, first.Upstream, "one request tests each")
+	assert.NotNil(t, second.Upstream)
+	assert.Nil(t, b.Pick(now, list, all).Upstream)
+	b.Ended(now, first.Upstream.ID, Result{Report: &Report{Limit: 10}})
+	assert.Equal(t, first.Upstream.ID, b.Pick(now, list, all).Upstream.ID, "it is back")
+}
+
 // Guards against work for upstreams that drain or were tried already.
 func TestDrainingAndExcludedUpstreams(t *testing.T) {
 	b := New("a")
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -31,6 +31,8 @@
 
 // Parent is a running request.
 type Parent struct {
+	// ID of the request.
+	ID       string
 	Deadline time.Time
 	// Priority of the request of a client at the root of the call tree.
 	Priority int
--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -28,7 +28,7 @@
 	update = 50 * time.Millisecond
 	// usable is the part of the capacity that is given out; the rest absorbs
 	// the variation of the demand.
-	usable = 0.92
+	usable = 0.98
 	// costWeight is the weight of one call in the mean cost of a route.
 	costWeight = 0.05
 	// initialCost is assumed until a call of a route has ended.
--- a/node/docs_test.go
+++ b/node/docs_test.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -20,6 +21,7 @@
 	"gopkg.in/yaml.v3"
 
 	"toucangw.example/core/verdict"
+	"toucangw.example/node/gateway"
 	"toucangw.example/node/httpapi"
 )
 
@@ -101,6 +103,10 @@
 	c := newCluster(t, "ledger")
 	send(t, http.MethodGet, c.nodes[0].url("/ledger/ledger/1"), nil, "")
 	body := string(send(t, http.MethodGet, "http://"+c.nodes[0].Addrs().Operator+"/metrics", nil, "").body)
+	// A node in gateway mode serves metrics of its own.
+	served := httptest.NewRecorder()
+	gateway.NewMetrics().Handler().ServeHTTP(served, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	body += served.Body.String()
 	for _, name := range metricNames(t) {
 		require.Contains(t, body, "# TYPE "+name+" ")
 	}
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -27,6 +27,7 @@
 type request struct {
 	x        *h1.Exchange
 	id       string
+	version  uint64 // of the configuration that decided
 	route    *routetable.Route
 	service  string
 	parent   *lineage.Parent // nil for a request of a client
@@ -93,6 +94,7 @@
 		r.RetryAfter = noRouteYet
 		return r, http.StatusServiceUnavailable
 	}
+	q.version = routes.Version
 	req := q.x.Request
 	q.id = req.Header.Get(g.cfg.Headers.RequestID)
 	q.route = routes.Match(req.Host, req.RequestURI)
@@ -179,9 +181,7 @@
 	if q.parent != nil {
 		f.meta.Repeat = q.parent.Repeat
 	}
-	if c := g.routes.Load(); c != nil {
-		f.meta.Version = c.Version
-	}
+	f.meta.Version = q.version
 	if err := f.readBody(q.x); err != nil {
 		return nil, err
 	}
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -116,7 +116,7 @@
 		return failed(verdict.NotRun, verdict.DeadlineUnmet, "no time left")
 	}
 	parent := &lineage.Parent{
-		Deadline: f.deadline, Priority: f.meta.Priority, Route: f.meta.Route, Own: f.meta.Own,
+		ID: f.requestID, Deadline: f.deadline, Priority: f.meta.Priority, Route: f.meta.Route, Own: f.meta.Own,
 		Repeat: f.meta.Repeat, Started: f.meta.Started,
 	}
 	g.running.Add(started, parent)
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -97,15 +98,15 @@
 	if q.route == nil {
 		return append(attrs, "host", q.x.Request.Host, "path", q.x.Request.RequestURI)
 	}
-	attrs = append(attrs, "route", q.route.Name, "service", q.service, "priority", q.priority,
+	attrs = append(attrs, "version", q.version, "route", q.route.Name, "service", q.service, "priority", q.priority,
 		"attempts", q.attempts, "placed", q.placed, "upstream", q.inputs.upstream,
-		"score", q.inputs.score, "among", q.inputs.among, "remote", q.x.Remote(),
+		"score", math.Round(1000*q.inputs.score)/1000, "among", q.inputs.among,
 		"left_ms", time.Until(q.deadline).Milliseconds())
 	if q.parent != nil {
-		attrs = append(attrs, "root", q.root)
+		attrs = append(attrs, "parent", q.parent.ID, "parent_certain", q.certain, "root", q.root)
 	}
 	if q.started < 1 {
-		attrs = append(attrs, "share", q.started)
+		attrs = append(attrs, "share", math.Round(1000*q.started)/1000)
 	}
 	return attrs
 }
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"toucangw.example/core/routetable"
 	"toucangw.example/core/verdict"
 )
 
@@ -44,9 +45,23 @@
 		}, []string{"call", "outcome"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.version, m.store)
+	m.initialise()
 	return m
 }
 
+// initialise creates the usual series, so that a rate over them is zero instead
+// of missing before the first event.
+func (m *Metrics) initialise() {
+	for _, kind := range []routetable.Kind{routetable.Unsafe, routetable.Safe, routetable.Download} {
+		m.requests.WithLabelValues(kind.String(), "200", "")
+		m.latency.WithLabelValues(kind.String())
+	}
+	for _, call := range []string{"config", "config-watch", "upstreams", "upstream-watch"} {
+		m.store.WithLabelValues(call, "ok")
+		m.store.WithLabelValues(call, "failed")
+	}
+}
+
 // Handler serves the metrics as text.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/node/h1/exchange.go
+++ b/node/h1/exchange.go
@@ -154,7 +154,7 @@
 	if x.conn.closing.Load() {
 		return ErrClientGone
 	}
-	if x.conn.server.draining.Load() || !x.bodyRead.Load() {
+	if x.conn.server.draining.Load() || x.conn.single || !x.bodyRead.Load() {
 		x.closeAfter = true
 	}
 	if x.closeAfter {
--- a/node/h1/server.go
+++ b/node/h1/server.go
@@ -65,15 +65,18 @@
 		}
 		tune(nc)
 		c := newServerConn(s, nc)
-		if !s.add(c) {
-			_ = nc.Close()
-			continue
-		}
+		s.add(c)
 		s.open.Go(c.serve)
 	}
 }
 
-const acceptPause = 5 * time.Millisecond
+const (
+	acceptPause = 5 * time.Millisecond
+	// crowded is the number of connections from which a further one is closed
+	// after its first answer, so that idle ones do not use up the descriptors
+	// of a small host.
+	crowded = 2000
+)
 
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
@@ -81,11 +84,11 @@
 	return s.closed
 }
 
-func (s *Server) add(c *serverConn) bool {
+func (s *Server) add(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.single = len(s.conns) >= crowded
 	s.conns[c] = struct{}{}
-	return true
 }
 
 func (s *Server) remove(c *serverConn) {
--- a/node/h1/serverconn.go
+++ b/node/h1/serverconn.go
@@ -41,6 +41,7 @@
 	ctx    context.Context // ends when the client has left
 	cancel context.CancelFunc
 
+	single   bool         // closed after its first answer
 	idle     atomic.Bool  // waits for a request
 	closing  atomic.Bool  // an answer that closes the connection was written
 	value    atomic.Value // of connValue
--- a/settings/reference/main.go
+++ b/settings/reference/main.go
@@ -38,6 +38,7 @@
 	parts := []struct{ name, text string }{
 		{"base", tables(settings.BaseTables(), true)},
 		{"node", tables(settings.NodeTables(), false)},
+		{"gateway", tables(settings.GatewayTables(), false)},
 		{"rules", rules()},
 	}
 	for _, part := range parts {
