--- a/cmd/toucangwctl/trace.go
+++ b/cmd/toucangwctl/trace.go
@@ -204,17 +204,10 @@
 	return b.String()
 }
 
-// summary names the first failure below a failed request, else its own end.
+// summary names the deepest failed call below a failed request, else its own
+// end.
 func summary(story []logLine, id string) string {
-	var own, cause *logLine
-	for i := range story {
-		l := &story[i]
-		if l.Request == id {
-			own = l
-		} else if l.Status >= 500 && l.Reason != "" && cause == nil {
-			cause = l
-		}
-	}
+	own, cause := ends(story, id)
 	switch {
 	case own == nil:
 		return "no line of the request itself; only calls below it"
@@ -222,9 +215,34 @@
 		return fmt.Sprintf("ended with status %d", own.Status)
 	case own.Reason != "":
 		return fmt.Sprintf("refused by %s: %s (%s), %s", own.Node, own.Reason, own.Verdict, own.Detail)
-	case cause != nil:
-		return fmt.Sprintf("upstream %s answered %d; first failed call: %s to service %s, %s (%s)", own.Upstream, own.Status, cause.Request, cause.Service, cause.Reason, cause.Detail)
-	default:
+	case cause == nil:
 		return fmt.Sprintf("upstream %s answered %d; no failed call is logged", own.Upstream, own.Status)
+	case cause.Reason != "":
+		return fmt.Sprintf("upstream %s answered %d; deepest failed call: %s to service %s, %s (%s)",
+			own.Upstream, own.Status, cause.Request, cause.Service, cause.Reason, cause.Detail)
+	default:
+		return fmt.Sprintf("upstream %s answered %d; deepest failed call: %s to service %s, upstream %s answered %d after %d ms",
+			own.Upstream, own.Status, cause.Request, cause.Service, cause.Upstream, cause.Status, cause.TookUS/1000)
+	}
+}
+
+// ends returns the line of the request and that of the first failed call below
+// it which has no failed call of its own.
+func ends(story []logLine, id string) (own, cause *logLine) {
+	failedBelow := map[string]bool{}
+	for _, l := range story {
+		if l.Status >= 500 {
+			failedBelow[l.Parent] = true
+		}
+	}
+	for i := range story {
+		l := &story[i]
+		switch {
+		case l.Request == id:
+			own = l
+		case l.Status >= 500 && cause == nil && !failedBelow[l.Request]:
+			cause = l
+		}
 	}
+	return own, cause
 }
