rootshare: let refused clients come back within the target latency

Change: Retry-After is a part of the time that the target latency leaves beyond the usual time of the route, spread over clients; the longer one stays for routes whose target cannot be met any more.

--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -292,6 +292,9 @@
 	if r.finish != nil {
 		r.finish(err == nil)
 	}
+	if success(r.answer.Status) {
+		g.usual.Answered(q.route.Name, time.Since(q.x.Arrived))
+	}
 	g.log.served(q, r, err)
 	g.cfg.Metrics.served(q, r.answer.Status)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -69,6 +69,7 @@
 	calls    lineage.Calls
 	demand   *rootshare.Estimator // at the local upstream
 	shares   *rootshare.Table     // of all services heard of
+	usual    rootshare.Usual
 	ledger   *outcome.Ledger[*reply]
 
 	gateMu  sync.Mutex
--- a/node/gateway/shares.go
+++ b/node/gateway/shares.go
@@ -36,14 +36,6 @@
 	}
 }
 
-const (
-	// returnBase is the shortest time after which a client that was refused
-	// for load may come back; returnSpread grows with the part refused, so
-	// that those who come back fit beside the newcomers.
-	returnBase   = 300 * time.Millisecond
-	returnSpread = 1200 * time.Millisecond
-)
-
 // start decides whether a request of a client is started.
 func (g *Gateway) start(q *request) *verdict.Refusal {
 	decision := g.shares.Start(time.Now(), q.route.Name)
@@ -52,8 +44,7 @@
 		return nil
 	}
 	r := verdict.Refuse(verdict.Pressure, decision.Service+" has no room")
-	wait := returnBase + time.Duration((1-decision.Share)*float64(returnSpread))
-	r.RetryAfter = time.Duration((0.6 + 0.8*rand.Float64()) * float64(wait))
+	r.RetryAfter = g.usual.ReturnAfter(q.route.Name, q.route.TargetLatency, decision.Share, rand.Float64())
 	return r
 }
 
