gateway: count calls of repeated runs in the retry budget; drop unused functions

Cause: reading the diff: retryshare.Count had no caller, although a call made by a run that was itself a repeat counts as a repeat at the service called.

Change: such calls are counted, so that a node spends less of the allowance on repeats of its own. Unused accessors of the connections and routes are gone.

--- a/core/routetable/split.go
+++ b/core/routetable/split.go
@@ -41,13 +41,3 @@
 
 // Next picks the service of the next request by the weights of the targets.
 func (r *Route) Next() string { return r.split.next() }
-
-// Serves reports whether the route may send requests to a service.
-func (r *Route) Serves(service string) bool {
-	for _, t := range r.Targets {
-		if t.Service == service {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/node/gateway/budget_test.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"toucangw.example/core/lineage"
+	"toucangw.example/core/retryshare"
+)
+
+// Guards the allowance of the fleet against calls made by runs that were
+// repeats: they count as repeats at the service that is called.
+func TestCallsOfRepeatsUseTheBudget(t *testing.T) {
+	allowed := func(repeat bool) bool {
+		g := testGateway()
+		g.budget = retryshare.New(retryshare.Allowance{Ratio: 0.2, Window: 10 * time.Second})
+		for range 100 {
+			g.countRequest(&request{service: "deep", parent: &lineage.Parent{Repeat: repeat}})
+		}
+		return g.budget.Repeat(time.Now(), "deep", 1)
+	}
+	assert.True(t, allowed(false))
+	assert.False(t, allowed(true))
+}
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -71,13 +71,23 @@
 	}
 	ctx, cancel := context.WithDeadline(x.Context(), q.deadline.Add(replyGrace))
 	defer cancel()
-	g.budget.Request(time.Now(), q.service)
+	g.countRequest(q)
 	r := g.serve(ctx, q, f)
 	g.endCall(q)
 	g.learnCall(q, r)
 	g.deliver(q, r)
 }
 
+// countRequest enters a request in the retry budget. A call made by a run that
+// was itself a repeat counts as a repeat, too.
+func (g *Gateway) countRequest(q *request) {
+	now := time.Now()
+	g.budget.Request(now, q.service)
+	if q.parent != nil && q.parent.Repeat {
+		g.budget.Count(now, q.service)
+	}
+}
+
 // endCall notes the end of a call before its answer is written: the upstream
 // may make its next call at once.
 func (g *Gateway) endCall(q *request) {
--- a/node/h1/exchange.go
+++ b/node/h1/exchange.go
@@ -48,9 +48,6 @@
 // Context ends when the client has left.
 func (x *Exchange) Context() context.Context { return x.ctx }
 
-// Remote is the address of the client.
-func (x *Exchange) Remote() string { return x.conn.nc.RemoteAddr().String() }
-
 // ConnValue returns what SetConnValue stored for the connection; nil without.
 func (x *Exchange) ConnValue() any {
 	v, _ := x.conn.value.Load().(connValue)
--- a/node/h1/pool.go
+++ b/node/h1/pool.go
@@ -28,20 +28,12 @@
 	mu     sync.Mutex
 	idle   map[string][]*clientConn // newest last
 	swept  time.Time
-	opened int64
 	closed bool
 }
 
 // NewPool returns an empty pool.
 func NewPool(t Timeouts) *Pool { return &Pool{timeouts: t, idle: map[string][]*clientConn{}} }
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // clientConn carries one request at a time.
 type clientConn struct {
 	nc      net.Conn
@@ -95,9 +87,6 @@
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &clientConn{
 		nc: nc, address: address, keep: p.timeouts.Idle,
 		br: bufio.NewReaderSize(nc, 4<<10), bw: bufio.NewWriterSize(nc, writeBuffer),
