gateway: take work for the upstream until shortly before a planned stop

The callers' listener closed with the announcement, so calls of requests still running at the upstream failed.

Change: new work is refused after three quarters of the announcement, and the callers' listener closes when no request is in progress.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -61,7 +61,8 @@
 	routes   atomic.Pointer[routetable.Config]
 	hosts    atomic.Pointer[directory.Snapshot]
 	own      atomic.Pointer[directory.Own]
-	draining atomic.Bool
+	draining atomic.Bool // not ready for clients
+	closed   atomic.Bool // the local upstream takes no new work
 
 	balancer *balance.Balancer
 	budget   *retryshare.Budget
@@ -153,10 +154,13 @@
 	return !g.draining.Load() && g.routes.Load() != nil && g.hosts.Load() != nil
 }
 
-// Drain refuses new work for the local upstream. Requests in progress end, and
-// those of local clients are still served.
+// Drain makes the node not ready. Requests are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// CloseUpstream refuses new work for the local upstream. Requests in progress
+// end, and those of local clients are still served.
+func (g *Gateway) CloseUpstream() { g.closed.Store(true) }
+
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inflight.Load() }
 
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -74,7 +74,7 @@
 
 // refuseNew returns why the local upstream takes no new request.
 func (g *Gateway) refuseNew(f *forward) *verdict.Refusal {
-	if g.draining.Load() {
+	if g.closed.Load() {
 		return verdict.Refuse(verdict.Leaving, "node stops")
 	}
 	if f.meta.Service != g.cfg.Service {
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -18,8 +18,9 @@
 var ErrCut = errors.New("stopped with requests in progress")
 
 const (
-	// cutMargin is left of the grace period to end in order.
-	cutMargin = 250 * time.Millisecond
+	// cutMargin is left of the grace period to end in order. A process that is
+	// short of processor time needs some hundred milliseconds.
+	cutMargin = 500 * time.Millisecond
 	// peerIdleTimeout is longer than peerIdle, so that the node that opened a
 	// connection closes it.
 	peerIdleTimeout = 2 * peerIdle
@@ -104,8 +105,8 @@
 }
 
 // Run serves until stop is closed and then ends in order: readiness fails at
-// once, requests of clients are served until they have had time to notice, and
-// those in progress end within the grace period.
+// once, requests are served until clients have had time to notice, and those in
+// progress end within the grace period.
 func (s *Server) Run(stop <-chan struct{}) error {
 	select {
 	case err := <-s.failed:
@@ -115,13 +116,19 @@
 	started := time.Now()
 	s.gateway.Drain()
 	s.callers.Drain()
-	s.peers.Drain()
 	s.logger.Info("stopping", "in_flight", s.gateway.InFlight())
-	announced := time.NewTimer(s.settings.Drain.Announce)
-	defer announced.Stop()
-	<-announced.C
+	time.Sleep(s.settings.Drain.Announce - s.lastWork())
+	// The upstream goes on running and cannot be reached while its node
+	// restarts, so its work is refused as late as possible.
+	s.gateway.CloseUpstream()
+	s.peers.Drain()
+	time.Sleep(s.lastWork())
+	// The upstream needs the callers' listener for the calls of its requests in
+	// progress.
+	end := started.Add(s.settings.Drain.Grace - cutMargin)
+	_ = s.awaitEnd(time.Now().Add(time.Until(end) / 2))
 	s.callers.CloseListener()
-	err := s.awaitEnd(started.Add(s.settings.Drain.Grace - cutMargin))
+	err := s.awaitEnd(end)
 	s.peers.Close()
 	s.callers.Close()
 	_ = s.readiness.Close()
@@ -130,6 +137,10 @@
 	return err
 }
 
+// lastWork is the time before the end of the announcement in which the local
+// upstream finishes its work.
+func (s *Server) lastWork() time.Duration { return s.settings.Drain.Announce / 4 }
+
 // awaitEnd waits until no request is in progress.
 func (s *Server) awaitEnd(deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
