lineage: routes called by one service, and calls that follow one another

Most calls were taken for requests of clients, refused at depth by shares of their own route, or given to a parent that expires with them by chance.

Change: an upstream's node follows at which services the requests of a route begin. A route that begins at one only, while others begin at several, is called by that service. The parent of a call that follows another on its connection goes before a match of deadlines, and tells whether deadlines mean anything for the route. Shares are told to each node every 25 ms instead of on each reply.

Parents of calls to quality stay a guess.

--- a/core/lineage/calls.go
+++ b/core/lineage/calls.go
@@ -7,7 +7,8 @@
 
 // Calls learns which routes are called by upstreams: nearly all requests on
 // such a route match a parent, while requests of clients match one only by
-// chance. It is safe for concurrent use.
+// chance; and they begin at one service only, as Origins finds. It is safe for
+// concurrent use.
 type Calls struct {
 	mu     sync.Mutex
 	routes map[string]*callRate
@@ -19,6 +20,8 @@
 	seen    int
 	parents map[string]float64 // share of the matches by route of the parent
 	matches int
+	only    bool    // begins at one service only
+	shown   float64 // share of the calls that expire with their parent
 }
 
 const (
@@ -35,6 +38,10 @@
 	parentShare = 0.1
 	// parentSamples is the number of matches before the shares are used.
 	parentSamples = 30
+	// shownWeight is the weight of one call in the share that expires with its
+	// parent; shownShare is the least with which deadlines tell the parent.
+	shownWeight = 0.02
+	shownShare  = 0.3
 	// limitSlack is the difference to the largest time limit up to which a
 	// limit counts as the sender's own.
 	limitSlack = 3 * time.Millisecond
@@ -61,13 +68,48 @@
 	r.parents[own] += weight
 }
 
+// Origin takes what Origins found for a route.
+func (c *Calls) Origin(route string, only bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.route(route).only = only
+}
+
+// Only reports whether Origins found that one service alone calls a route.
+func (c *Calls) Only(route string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.route(route).only
+}
+
+// Expired counts a call whose parent is known by the order of calls, and
+// whether it expires with its parent.
+func (c *Calls) Expired(route string, withParent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.route(route)
+	value := 0.0
+	if withParent {
+		value = 1
+	}
+	r.shown += shownWeight * (value - r.shown)
+}
+
+// Shown reports whether deadlines tell the parents of a route's calls. Where
+// most calls have a shorter limit of their own, a match is mere chance.
+func (c *Calls) Shown(route string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.route(route).shown >= shownShare
+}
+
 func (c *Calls) route(name string) *callRate {
 	if c.routes == nil {
 		c.routes = map[string]*callRate{}
 	}
 	r := c.routes[name]
 	if r == nil {
-		r = &callRate{matched: 0.5, parents: map[string]float64{}}
+		r = &callRate{matched: 0.5, shown: 1, parents: map[string]float64{}}
 		c.routes[name] = r
 	}
 	return r
@@ -89,6 +131,9 @@
 		r.matched += callWeight * (value - r.matched)
 		r.seen++
 	}
+	if r.only {
+		return true
+	}
 	if r.seen < callSamples {
 		return matched && limit < r.longest-limitSlack
 	}
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -19,7 +19,7 @@
 	late  = 4 * time.Millisecond
 	// succession is the time within which an upstream makes its next call
 	// after the answer to the one before, on the same connection.
-	succession = 2500 * time.Microsecond
+	succession = 1500 * time.Microsecond
 )
 
 const (
@@ -101,17 +101,33 @@
 	return best
 }
 
-// Guess returns the running request that most likely makes a call whose own
-// time limit hides its parent, or nil. Before is the parent of the previous
-// call on the same connection, if any: upstreams make the calls of one request
-// one after the other, on one connection. A call that follows no other is the
-// first of its parent, most likely of the one whose age fits best.
-func (r *Register) Guess(now, deadline time.Time, before *Parent, makes func(own string) bool) *Parent {
+// Next returns the parent of the previous call on a connection, if the next
+// call on it is most likely made by the same request, or nil: upstreams make
+// the calls of one request one after the other, on one connection.
+func (r *Register) Next(now, deadline time.Time, before *Parent) *Parent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if before != nil && before.place >= 0 && before.open == 0 && now.Sub(before.lastEnd) <= succession {
-		return before
+	if before == nil || before.place < 0 || before.open > 0 || now.Sub(before.lastEnd) > succession {
+		return nil
+	}
+	if before.Deadline.Before(deadline.Add(-early)) {
+		return nil // the call would have its limit
 	}
+	return before
+}
+
+// Expires reports whether a deadline is that of a request.
+func (p *Parent) Expires(deadline time.Time) bool {
+	d := deadline.Sub(p.Deadline)
+	return d >= -early && d <= late
+}
+
+// Guess returns the running request that most likely makes a call whose own
+// time limit hides its parent, or nil. Such a call is the first of its parent,
+// most likely of the one whose age fits best.
+func (r *Register) Guess(now, deadline time.Time, makes func(own string) bool) *Parent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var first, other *Parent
 	distance := maxDistance
 	for _, p := range r.running {
@@ -134,6 +150,19 @@
 	return other
 }
 
+// Any returns a running request that makes such calls, or nil. It stands for
+// the mix of them where no parent is likely.
+func (r *Register) Any(makes func(own string) bool) *Parent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.running {
+		if makes(p.Own) {
+			return p
+		}
+	}
+	return nil
+}
+
 // maxDistance is the largest distance, a factor of five, at which a call may be
 // the first of a request.
 var maxDistance = math.Log(5)
--- a/core/lineage/lineage_test.go
+++ b/core/lineage/lineage_test.go
@@ -41,17 +41,20 @@
 	r.Add(after(0), short)
 	r.Add(after(1), older)
 	r.Add(after(15), newer)
-	assert.Same(t, older, r.Guess(after(20), after(720), nil, anyRoute), "its age fits a first call")
+	assert.Same(t, older, r.Guess(after(20), after(720), anyRoute), "its age fits a first call")
 	r.Called(after(20), older, false)
-	assert.Same(t, newer, r.Guess(after(30), after(730), nil, anyRoute), "the other has a call in progress")
+	assert.Same(t, newer, r.Guess(after(30), after(730), anyRoute), "the other has a call in progress")
 	r.Called(after(30), newer, false)
 	r.End(after(100), newer)
 	r.End(after(101), older)
-	assert.Same(t, newer, r.Guess(after(102), after(802), newer, anyRoute), "the same connection")
+	assert.Same(t, newer, r.Next(after(101), after(801), newer), "the same connection")
+	assert.Nil(t, r.Next(after(103), after(803), newer), "too late after the call before")
+	assert.Nil(t, r.Next(after(101), after(955), newer), "the call ends after its parent")
 	r.Remove(newer)
-	assert.Same(t, older, r.Guess(after(102), after(802), newer, anyRoute), "the parent has ended")
+	assert.Nil(t, r.Next(after(101), after(801), newer), "the parent has ended")
+	assert.Same(t, older, r.Guess(after(102), after(802), anyRoute))
 	r.Remove(older)
-	assert.Nil(t, r.Guess(after(102), after(802), nil, anyRoute))
+	assert.Nil(t, r.Guess(after(102), after(802), anyRoute))
 }
 
 // Guards against requests of clients that match a deadline by chance being
@@ -90,6 +93,56 @@
 	r.Add(after(0), read)
 	r.Add(after(1), sync)
 	makes := func(own string) bool { return c.Makes(own, "feed") }
-	assert.Same(t, sync, r.Guess(after(20), after(720), nil, makes))
+	assert.Same(t, sync, r.Guess(after(20), after(720), makes))
 	assert.Nil(t, r.Match(after(900), makes))
 }
+
+// Guards calls whose own limits differ: none of them matches a parent, but they
+// all begin at one service, while those of clients begin at several.
+func TestRoutesOfOneOriginAreCalled(t *testing.T) {
+	var o Origins
+	var c Calls
+	services := []string{"front", "middle", "deep"}
+	for i := range 300 {
+		c.Origin("clients", o.Count("clients", services[i%3]))
+		for range 20 {
+			c.Origin("called", o.Count("called", "middle"))
+		}
+		c.Observe("called", time.Duration(580+i%120)*time.Millisecond, i%10 == 0)
+		c.Observe("clients", time.Duration(580+i%120)*time.Millisecond, i%10 == 0)
+	}
+	assert.True(t, c.Observe("called", 650*time.Millisecond, false))
+	assert.False(t, c.Observe("clients", 650*time.Millisecond, true))
+
+	var single Origins
+	for range 300 {
+		assert.False(t, single.Count("any", "middle"), "clients may enter at one service only")
+	}
+}
+
+// Guards against chance: among many running requests one expires with any call,
+// also where the calls have shorter limits of their own.
+func TestDeadlinesOfHiddenParentsTellNothing(t *testing.T) {
+	var c Calls
+	p := &Parent{Deadline: after(1000)}
+	for i := range 200 {
+		c.Expired("hidden", p.Expires(after(580+i)))
+		c.Expired("shown", p.Expires(after(1000)))
+	}
+	assert.False(t, c.Shown("hidden"))
+	assert.True(t, c.Shown("shown"))
+	assert.True(t, c.Shown("new"), "nothing is known yet")
+}
+
+// Guards calls without a likely parent: a request that makes such calls stands
+// for it.
+func TestAnyParentThatMakesTheCall(t *testing.T) {
+	var r Register
+	p := &Parent{Deadline: after(100), Own: "sync"}
+	r.Add(after(0), p)
+	r.Called(after(1), p, true)
+	makes := func(own string) bool { return own == "sync" }
+	assert.Nil(t, r.Guess(after(20), after(720), makes))
+	assert.Same(t, p, r.Any(makes))
+	assert.Nil(t, r.Any(func(string) bool { return false }))
+}
--- a/core/rootshare/table.go
+++ b/core/rootshare/table.go
@@ -166,7 +166,10 @@
 		if out[i].Value != out[j].Value {
 			return out[i].Value < out[j].Value
 		}
-		return out[i].Service+out[i].Route < out[j].Service+out[j].Route
+		if out[i].Service != out[j].Service {
+			return out[i].Service < out[j].Service
+		}
+		return out[i].Route < out[j].Route
 	})
 	return out[:min(len(out), maxStated)]
 }
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -148,22 +148,16 @@
 func (g *Gateway) findParent(q *request, limit time.Duration) *lineage.Parent {
 	deadline := q.x.Arrived.Add(limit)
 	name := q.route.Name
-	makes := func(own string) bool { return g.calls.Makes(own, name) }
-	parent := g.running.Match(deadline, anyRoute)
-	if !g.calls.Observe(name, limit, parent != nil) {
+	match := g.running.Match(deadline, anyRoute)
+	if !g.calls.Observe(name, limit, match != nil) {
 		return nil
 	}
+	before, _ := q.x.ConnValue().(*lineage.Parent)
+	parent := g.running.Next(q.x.Arrived, deadline, before)
 	if parent != nil {
-		g.calls.Matched(parent.Own, name)
-		if !makes(parent.Own) {
-			// It matches by chance; another one may match as well.
-			parent = g.running.Match(deadline, makes)
-		}
-	}
-	q.certain = parent != nil
-	if parent == nil {
-		before, _ := q.x.ConnValue().(*lineage.Parent)
-		parent = g.running.Guess(q.x.Arrived, deadline, before, makes)
+		g.calls.Expired(name, parent.Expires(deadline))
+	} else {
+		parent = g.firstParent(q, deadline, match)
 	}
 	if parent != nil {
 		q.x.SetConnValue(parent)
@@ -171,6 +165,31 @@
 	return parent
 }
 
+// firstParent returns the parent of a call that follows no other on its
+// connection, or nil. Match is the running request that expires with it.
+func (g *Gateway) firstParent(q *request, deadline time.Time, match *lineage.Parent) *lineage.Parent {
+	name := q.route.Name
+	makes := func(own string) bool { return g.calls.Makes(own, name) }
+	if match != nil && g.calls.Shown(name) {
+		g.calls.Matched(match.Own, name)
+		if !makes(match.Own) {
+			// It matches by chance; another one may match as well.
+			match = g.running.Match(deadline, makes)
+		}
+		if match != nil {
+			q.certain = true
+			return match
+		}
+	}
+	if guess := g.running.Guess(q.x.Arrived, deadline, makes); guess != nil {
+		return guess
+	}
+	if g.calls.Only(name) {
+		return g.running.Any(makes)
+	}
+	return nil
+}
+
 func anyRoute(string) bool { return true }
 
 // prepare reads the body and builds the attempt.
@@ -234,6 +253,9 @@
 	}
 	r := g.send(ctx, u, f)
 	g.balancer.Ended(time.Now(), u.ID, resultOf(q, r))
+	if r.meta.Limit > 0 {
+		g.calls.Origin(q.route.Name, r.meta.Called)
+	}
 	if r.meta.Arrived || r.answer != nil || r.meta.verdict() != verdict.NotRun {
 		q.attempts++
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -64,14 +64,16 @@
 	draining atomic.Bool // not ready for clients
 	closed   atomic.Bool // the local upstream takes no new work
 
-	balancer *balance.Balancer
-	budget   *retryshare.Budget
-	running  lineage.Register // requests at the local upstream
-	calls    lineage.Calls
-	demand   *rootshare.Estimator // at the local upstream
-	shares   *rootshare.Table     // of all services heard of
-	usual    rootshare.Usual
-	ledger   *outcome.Ledger[*reply]
+	balancer   *balance.Balancer
+	budget     *retryshare.Budget
+	running    lineage.Register // requests at the local upstream
+	calls      lineage.Calls
+	origins    lineage.Origins
+	demand     *rootshare.Estimator // at the local upstream
+	shares     *rootshare.Table     // of all services heard of
+	usual      rootshare.Usual
+	statements statements
+	ledger     *outcome.Ledger[*reply]
 
 	gateMu  sync.Mutex
 	gate    *gate.Gate
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -30,13 +30,15 @@
 
 // guard runs a request at the local upstream when a slot is free.
 func (g *Gateway) guard(ctx context.Context, f *forward) *reply {
+	called := g.origins.Count(f.meta.Own, f.meta.Origin)
 	r := g.guarded(ctx, f)
+	r.meta.Called = called
 	load := g.load()
 	r.meta.Running, r.meta.Queued, r.meta.Limit = load.Running, load.Queued, load.Limit
 	if c := g.routes.Load(); c != nil {
 		r.meta.Version = c.Version
 	}
-	r.meta.Shares = g.stateShares(load.Limit)
+	g.tellShares(f, r, load.Limit)
 	return r
 }
 
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -90,8 +90,12 @@
 	Queued    int    `json:"q,omitempty"`
 	Limit     int    `json:"l,omitempty"`
 	Version   uint64 `json:"c,omitempty"` // configuration in force at the guard
+	// Called is set if only the sender's service calls the route.
+	Called bool `json:"o,omitempty"`
 	// Shares of routes to start, as services on the way state them.
 	Shares []shareMeta `json:"h,omitempty"`
+	// Told is set if the shares were left out, as the node has been told them.
+	Told bool `json:"t,omitempty"`
 }
 
 // shareMeta is a rootshare.Stated on the wire.
--- a/node/gateway/shares.go
+++ b/node/gateway/shares.go
@@ -2,12 +2,48 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"toucangw.example/core/rootshare"
 	"toucangw.example/core/verdict"
 )
 
+// statementPause is the least time between two statements of shares to one
+// node. They are computed anew twice as rarely, and take most of a reply.
+const statementPause = 25 * time.Millisecond
+
+// statements remembers when each node was told the shares. It is safe for
+// concurrent use.
+type statements struct {
+	mu   sync.Mutex
+	told map[string]time.Time
+}
+
+// due reports whether a node is to be told the shares now.
+func (s *statements) due(now time.Time, node string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.told[node]) < statementPause {
+		return false
+	}
+	if s.told == nil {
+		s.told = map[string]time.Time{}
+	}
+	s.told[node] = now
+	return true
+}
+
+// tellShares adds the shares to a reply, unless the node that asked has been
+// told them a moment ago.
+func (g *Gateway) tellShares(f *forward, r *reply, limit int) {
+	if g.statements.due(time.Now(), f.meta.Sender) {
+		r.meta.Shares = g.stateShares(limit)
+		return
+	}
+	r.meta.Told = true
+}
+
 // stateShares returns the shares of the local upstream and those heard of
 // other services.
 func (g *Gateway) stateShares(limit int) []shareMeta {
@@ -56,6 +92,9 @@
 	}
 	now := time.Now()
 	if r.answer != nil {
+		if r.meta.Told {
+			return
+		}
 		for _, s := range r.meta.Shares {
 			if s.Service == q.service && s.Route == q.root {
 				return // heard already
--- /dev/null
+++ b/node/gateway/shares_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"toucangw.example/core/lineage"
+	"toucangw.example/core/rootshare"
+	"toucangw.example/core/routetable"
+	"toucangw.example/node/h1"
+)
+
+// Guards the cost of a reply under overload: shares are told to each node once
+// in a while.
+func TestSharesAreToldOnceInAWhile(t *testing.T) {
+	var s statements
+	now := time.Now()
+	assert.True(t, s.due(now, "a"))
+	assert.False(t, s.due(now.Add(statementPause/2), "a"))
+	assert.True(t, s.due(now.Add(statementPause/2), "b"))
+	assert.True(t, s.due(now.Add(statementPause), "a"))
+}
+
+// Guards against a reply without shares being taken for the end of a
+// restriction, when they were only left out.
+func TestSharesThatWereLeftOutStillHold(t *testing.T) {
+	g := New(Config{Zone: "a", Service: "front", Metrics: NewMetrics()})
+	now := time.Now()
+	restrict := func() {
+		for i := range 50 {
+			g.shares.Hear(now.Add(time.Duration(i)*time.Millisecond), rootshare.Stated{Service: "deep", Route: "root", Value: 0.3})
+		}
+	}
+	restrict()
+	q := &request{parent: &lineage.Parent{}, service: "deep", root: "root", route: &routetable.Route{}}
+	answered := &reply{answer: h1.NewAnswer(200, nil, nil)}
+	answered.meta.Told = true
+	before := g.shares.Share(now, "root")
+	for range 20 {
+		g.learnCall(q, answered)
+	}
+	assert.InDelta(t, before, g.shares.Share(now, "root"), 0.01)
+	answered.meta.Told = false
+	time.Sleep(60 * time.Millisecond)
+	g.learnCall(q, answered)
+	assert.Greater(t, g.shares.Share(now, "root"), before+0.05)
+}
