lineage: learn which routes make a call where many requests run

Change: the matches of a route are compared with those that it has by chance, estimated from the requests that expire a little earlier or later. Limits below four fifths of the longest of a route are taken for the parent's, as the limits that senders choose differ.

--- a/core/lineage/calls.go
+++ b/core/lineage/calls.go
@@ -19,6 +19,7 @@
 	matched float64
 	seen    int
 	parents map[string]float64 // share of the matches by route of the parent
+	chance  map[string]float64 // share that would match by chance alone
 	matches int
 	only    bool    // begins at one service only
 	shown   float64 // share of the calls that expire with their parent
@@ -33,9 +34,15 @@
 	callSamples = 12
 	// parentWeight is the weight of one match in the shares of parents.
 	parentWeight = 0.03
-	// parentShare of the matches of a called route have a parent of a route
-	// that calls it; others match by chance.
-	parentShare = 0.1
+	// chanceShare is the part of the share that a route has by chance above
+	// which it makes calls: where a call finds its own parent, the others
+	// match less often than by chance alone.
+	chanceShare = 0.9
+	// leastShare is the share of the matches of a route that makes calls.
+	leastShare = 0.02
+	// tellingShare is the part of the largest time limit of a route below
+	// which a limit is hardly the sender's own: those of one route differ.
+	tellingShare = 0.8
 	// parentSamples is the number of matches before the shares are used.
 	parentSamples = 30
 	// shownWeight is the weight of one call in the share that expires with its
@@ -52,20 +59,44 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.routes[call]
-	return r == nil || r.matches < parentSamples || r.parents[own] >= parentShare
+	if r == nil || r.matches < parentSamples {
+		return true
+	}
+	return r.parents[own] >= leastShare && r.parents[own] >= chanceShare*r.chance[own]
 }
 
-// Matched counts a call whose parent is known by its deadline.
-func (c *Calls) Matched(own, call string) {
+// Matched counts a call whose parent is told by its deadline. Chance holds the
+// numbers of requests by route that match it by chance.
+func (c *Calls) Matched(own, call string, chance map[string]float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.route(call)
 	r.matches++
 	weight := max(parentWeight, 1/float64(r.matches))
-	for name := range r.parents {
-		r.parents[name] *= 1 - weight
-	}
+	fade(r.parents, weight)
 	r.parents[own] += weight
+	sum := 0.0
+	for _, n := range chance {
+		sum += n
+	}
+	fade(r.chance, weight)
+	for name, n := range chance {
+		r.chance[name] += weight * n / max(sum, 1)
+	}
+}
+
+func fade(shares map[string]float64, weight float64) {
+	for name := range shares {
+		shares[name] *= 1 - weight
+	}
+}
+
+// Telling reports whether a time limit is so short that it is hardly the
+// sender's own, but the time left of the parent.
+func (c *Calls) Telling(route string, limit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(limit) < tellingShare*float64(c.route(route).longest)
 }
 
 // Origin takes what Origins found for a route.
@@ -109,7 +140,7 @@
 	}
 	r := c.routes[name]
 	if r == nil {
-		r = &callRate{matched: 0.5, shown: 1, parents: map[string]float64{}}
+		r = &callRate{matched: 0.5, shown: 1, parents: map[string]float64{}, chance: map[string]float64{}}
 		c.routes[name] = r
 	}
 	return r
--- a/core/lineage/lineage.go
+++ b/core/lineage/lineage.go
@@ -17,6 +17,9 @@
 	// twice, and a busy host reads a call late.
 	early = 3 * time.Millisecond
 	late  = 4 * time.Millisecond
+	// chanceSpan is the time around a deadline from which the number of chance
+	// matches is estimated, in units of the time in which a deadline matches.
+	chanceSpan = 10
 	// succession is the time within which an upstream makes its next call
 	// after the answer to the one before, on the same connection.
 	succession = 1500 * time.Microsecond
@@ -211,6 +214,20 @@
 	p.lastEnd = now
 }
 
+// Chance returns the number of running requests, by route, that match a
+// deadline by chance, from those that expire a little earlier or later.
+func (r *Register) Chance(deadline time.Time) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]float64{}
+	for _, p := range r.running {
+		if deadline.Sub(p.Deadline).Abs() <= chanceSpan*(early+late)/2 {
+			out[p.Own] += 1.0 / chanceSpan
+		}
+	}
+	return out
+}
+
 // Len returns the number of running requests.
 func (r *Register) Len() int {
 	r.mu.Lock()
--- a/core/lineage/lineage_test.go
+++ b/core/lineage/lineage_test.go
@@ -73,20 +73,36 @@
 	assert.False(t, c.Observe("clients", 800*ms, true))
 }
 
-// Guards against calls being attributed to requests that make none.
+// Guards against calls being attributed to requests that make none, also where
+// so many run that some match by chance.
 func TestParentsAreOfRoutesThatCall(t *testing.T) {
 	var c Calls
-	for i := range 200 {
+	chance := map[string]float64{"sync": 0.9, "seldom": 0.04, "read": 0.5}
+	for i := range 400 {
 		own := "sync"
-		if i%20 == 0 {
+		switch {
+		case i%5 == 0:
 			own = "read" // by chance
+		case i%20 == 1:
+			own = "seldom"
 		}
-		c.Matched(own, "feed")
+		c.Matched(own, "feed", chance)
 	}
 	assert.True(t, c.Makes("sync", "feed"))
+	assert.True(t, c.Makes("seldom", "feed"))
 	assert.False(t, c.Makes("read", "feed"))
 	assert.True(t, c.Makes("read", "unknown"), "nothing is known yet")
 
+	var crowd Register
+	for i := range 100 {
+		crowd.Add(after(0), &Parent{Deadline: after(1000 + i), Own: "read"})
+	}
+	assert.InDelta(t, 7, crowd.Chance(after(1050))["read"], 0.5, "one expires each millisecond")
+
+	assert.False(t, c.Observe("feed", 700*time.Millisecond, false))
+	assert.True(t, c.Telling("feed", 500*time.Millisecond))
+	assert.False(t, c.Telling("feed", 600*time.Millisecond), "limits of one route differ")
+
 	var r Register
 	read := &Parent{Deadline: after(900), Own: "read"}
 	sync := &Parent{Deadline: after(910), Own: "sync"}
--- a/node/gateway/entry.go
+++ b/node/gateway/entry.go
@@ -157,6 +157,9 @@
 	if parent != nil {
 		g.calls.Expired(name, parent.Expires(deadline))
 	} else {
+		if !g.calls.Shown(name) && !g.calls.Telling(name, limit) {
+			match = nil
+		}
 		parent = g.firstParent(q, deadline, match)
 	}
 	if parent != nil {
@@ -166,12 +169,13 @@
 }
 
 // firstParent returns the parent of a call that follows no other on its
-// connection, or nil. Match is the running request that expires with it.
+// connection, or nil. Match is the running request that expires with it, if
+// that tells anything.
 func (g *Gateway) firstParent(q *request, deadline time.Time, match *lineage.Parent) *lineage.Parent {
 	name := q.route.Name
 	makes := func(own string) bool { return g.calls.Makes(own, name) }
-	if match != nil && g.calls.Shown(name) {
-		g.calls.Matched(match.Own, name)
+	if match != nil {
+		g.calls.Matched(match.Own, name, g.running.Chance(deadline))
 		if !makes(match.Own) {
 			// It matches by chance; another one may match as well.
 			match = g.running.Match(deadline, makes)
