--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -23,7 +23,7 @@
 
 const (
 	// window is the time constant of the demand estimate.
-	window = 600 * time.Millisecond
+	window = 350 * time.Millisecond
 	// update is the interval at which shares are computed.
 	update = 50 * time.Millisecond
 	// usable is the part of the capacity that is given out; the rest absorbs
@@ -56,7 +56,7 @@
 	waitLife = 400 * time.Millisecond
 	// restrictPace is the relative decrease per second of the share of a route
 	// whose calls wait; openPace is the increase per second once they do not.
-	restrictPace = 2.5
+	restrictPace = 6
 	openPace     = 0.6
 	// announce is how long the share of a route is stated after it was
 	// restricted, so that all nodes hear of the end.
--- a/core/rootshare/rootshare_test.go
+++ b/core/rootshare/rootshare_test.go
@@ -242,3 +242,23 @@
 		assert.NotContains(t, asMap(e.Shares(now, 100, anywhere)), "signoff")
 	}
 }
+
+// Guards the start of a surge: each request that is started while calls wait
+// lengthens the queue for all trees that have begun, so the least important
+// route must give way within some hundred milliseconds.
+func TestSurgeIsRestrictedSoon(t *testing.T) {
+	e := NewEstimator()
+	loads := []load{{"signoff", 0, 15, 30 * time.Millisecond}, {"read", 2, 15, 30 * time.Millisecond}}
+	now := play(e, nil, loads, testNow, 100)
+	require.Empty(t, e.Shares(now, 100, anywhere))
+	var shares map[string]float64
+	for range 30 {
+		now = play(e, shares, loads, now, 1)
+		for range 10 {
+			e.Waited("read", 120*time.Millisecond)
+		}
+		shares = asMap(e.Shares(now, 100, anywhere))
+	}
+	assert.LessOrEqual(t, shares["read"], 0.35)
+	assert.NotContains(t, shares, "signoff")
+}
--- a/core/rootshare/table.go
+++ b/core/rootshare/table.go
@@ -10,7 +10,7 @@
 	// blend is the weight of one statement. The upstreams of a service state
 	// shares of their own, nodes hear of them at different times, and a request
 	// may go to any of them.
-	blend = 0.2
+	blend = 0.35
 	// lifetime is the age up to which a share holds in full.
 	lifetime = 900 * time.Millisecond
 	// opening is the time after its lifetime in which a share grows to one.
