h1: do not reuse connections that a server forgets sooner than it states

Cause: a server may drop idle connections without notice, and what is sent next is reset. A request that may run only once is then lost, as nothing tells that it has not run; a pool went on using connections of the same age.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -217,3 +217,16 @@
 	}
 	return len(hosts.Service(service))
 }
+
+// Addresses returns the upstreams of a service in the node's view.
+func (g *Gateway) Addresses(service string) []netip.AddrPort {
+	hosts := g.hosts.Load()
+	if hosts == nil {
+		return nil
+	}
+	var out []netip.AddrPort
+	for _, u := range hosts.Service(service) {
+		out = append(out, u.Address)
+	}
+	return out
+}
--- a/node/h1/client.go
+++ b/node/h1/client.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
+	"time"
 )
 
 // Call is one request to a server.
@@ -82,14 +84,23 @@
 	if err := r.exchange(call); err != nil {
 		r.stop()
 		_ = c.nc.Close()
-		if ctxErr := ctx.Err(); ctxErr != nil {
+		switch ctxErr := ctx.Err(); {
+		case ctxErr != nil:
 			err = ctxErr
+		case c.reused && lost(err):
+			p.bounds.failed(time.Now(), address, c.idled)
 		}
 		return nil, &CallError{Sent: true, Reused: c.reused, Err: err}
 	}
 	return r, nil
 }
 
+// lost reports that the server has closed or reset the connection.
+func lost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // exchange writes the request and reads the head of its response.
 func (r *Reply) exchange(call *Call) error {
 	wrote := make(chan error, 1)
--- a/node/h1/pool.go
+++ b/node/h1/pool.go
@@ -24,6 +24,7 @@
 // use.
 type Pool struct {
 	timeouts Timeouts
+	bounds   idleBounds
 
 	mu     sync.Mutex
 	idle   map[string][]*clientConn // newest last
@@ -40,7 +41,9 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	address string
-	usable  time.Time // not to be used again after it
+	since   time.Time     // idle since
+	idled   time.Duration // idle time before the request that it carries
+	usable  time.Time     // not to be used again after it
 	keep    time.Duration
 	reused  bool
 }
@@ -72,7 +75,8 @@
 		list[len(list)-1] = nil
 		list = list[:len(list)-1]
 		p.idle[address] = list
-		if now.Before(c.usable) {
+		c.idled = now.Sub(c.since)
+		if now.Before(c.usable) && p.bounds.allows(now, address, c.idled) {
 			return c
 		}
 		_ = c.nc.Close()
@@ -102,7 +106,8 @@
 		_ = c.nc.Close()
 		return
 	}
-	c.usable = time.Now().Add(c.keep)
+	c.since = time.Now()
+	c.usable = c.since.Add(c.keep)
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// Drop ends the connections that are open now. New ones work.
+func (r *Relay) Drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.close()
+	}
+}
+
 // Close ends all connections.
 func (r *Relay) Close() {
 	_ = r.lis.Close()
