gateway: log budget in bytes, metrics of the gate

The decision log was bounded in lines. It is bounded in bytes a second now, of which successes may use a tenth; lines left out are counted in a metric. New metrics: queue and upstream times, requests running, queued and in flight, slots, upstreams known.

--- a/node/docs_test.go
+++ b/node/docs_test.go
@@ -105,7 +105,9 @@
 	body := string(send(t, http.MethodGet, "http://"+c.nodes[0].Addrs().Operator+"/metrics", nil, "").body)
 	// A node in gateway mode serves metrics of its own.
 	served := httptest.NewRecorder()
-	gateway.NewMetrics().Handler().ServeHTTP(served, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	metrics := gateway.NewMetrics()
+	gateway.New(gateway.Config{Metrics: metrics})
+	metrics.Handler().ServeHTTP(served, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	body += served.Body.String()
 	for _, name := range metricNames(t) {
 		require.Contains(t, body, "# TYPE "+name+" ")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -101,7 +101,7 @@
 
 // New returns a gateway without routes and upstreams.
 func New(cfg Config) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		cfg:      cfg,
 		balancer: balance.New(cfg.Zone),
 		budget:   retryshare.New(cfg.Allowance),
@@ -113,10 +113,12 @@
 		peers:    h1.NewPool(h1.Timeouts{Dial: peerDialTimeout, Idle: peerIdle}),
 		upstream: h1.NewPool(h1.Timeouts{Dial: upstreamDialTimeout, Idle: upstreamIdle}),
 		keys:     newKeySource(cfg.Host),
-		log:      newDecisionLog(cfg.Logger),
+		log:      newDecisionLog(cfg.Logger, cfg.Metrics.omitted.Inc),
 		began:    time.Now(),
 		self:     netip.AddrPortFrom(cfg.Upstream.Addr(), cfg.PeerPort).String(),
 	}
+	cfg.Metrics.observe(g)
+	return g
 }
 
 // SetRoutes puts a configuration in force. An older one than that in force is
@@ -218,6 +220,15 @@
 	return len(hosts.Service(service))
 }
 
+// known returns the number of upstreams in the node's view.
+func (g *Gateway) known() int {
+	hosts := g.hosts.Load()
+	if hosts == nil {
+		return 0
+	}
+	return hosts.Len()
+}
+
 // Addresses returns the upstreams of a service in the node's view.
 func (g *Gateway) Addresses(service string) []netip.AddrPort {
 	hosts := g.hosts.Load()
--- a/node/gateway/guard.go
+++ b/node/gateway/guard.go
@@ -57,7 +57,9 @@
 		MaxWait:  time.Duration(f.meta.WaitMS) * time.Millisecond,
 	}
 	refusal := g.acquire(ctx, entry)
-	g.demand.Waited(f.meta.Route, entry.Waited(time.Now()))
+	waited := entry.Waited(time.Now())
+	g.demand.Waited(f.meta.Route, waited)
+	g.cfg.Metrics.queued.Observe(waited.Seconds())
 	if refusal != nil {
 		if key != "" {
 			g.ledger.Refuse(time.Now(), key)
@@ -140,7 +142,9 @@
 	if r.answer == nil || r.answer.Stream == nil {
 		cancel()
 		r.meta.ServiceUS = time.Since(started).Microseconds()
-		end(serviceTime(r, started))
+		service := serviceTime(r, started)
+		g.cfg.Metrics.service.Observe(service.Seconds())
+		end(service)
 		return r
 	}
 	r.meta.ServiceUS = time.Since(started).Microseconds()
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -10,46 +10,77 @@
 )
 
 const (
-	// logBudget bounds the decision lines a second; failures may use all of
-	// it, successes a tenth.
-	logBudget     = 200
+	// logBudget bounds the decision lines in bytes a second; failures may use
+	// all of it, successes a tenth.
+	logBudget     = 128 << 10
 	successBudget = logBudget / 10
 	// sampleEvery is the share of successes that are logged.
 	sampleEvery = 64
+	// lineOverhead and attrOverhead estimate the bytes of a line beside its
+	// attributes' keys and texts.
+	lineOverhead = 130
+	attrOverhead = 16
 )
 
 // decisionLog writes a line for each decision on a request, within a budget
 // per second. It never blocks on the output.
 type decisionLog struct {
 	logger *slog.Logger
+	// omitted is told of each line that the budget leaves out.
+	omitted func()
+	now     func() time.Time
 
 	mu      sync.Mutex
 	second  int64
-	lines   int
+	bytes   int
 	dropped int
 	count   int
 }
 
-func newDecisionLog(logger *slog.Logger) *decisionLog { return &decisionLog{logger: logger} }
+func newDecisionLog(logger *slog.Logger, omitted func()) *decisionLog {
+	return &decisionLog{logger: logger, omitted: omitted, now: time.Now}
+}
+
+// write logs a line if the budget has room for it.
+func (l *decisionLog) write(budget int, msg string, attrs []any) {
+	if l.allow(l.now(), budget, lineSize(msg, attrs)) {
+		l.logger.Info(msg, attrs...)
+		return
+	}
+	l.omitted()
+}
 
 // allow takes a line out of the budget.
-func (l *decisionLog) allow(budget int) bool {
+func (l *decisionLog) allow(now time.Time, budget, size int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now := time.Now().Unix(); now != l.second {
+	if second := now.Unix(); second != l.second {
 		if l.dropped > 0 {
 			l.logger.Warn("decisions not logged", "lines", l.dropped, "second", l.second)
 		}
-		l.second, l.lines, l.dropped = now, 0, 0
+		l.second, l.bytes, l.dropped = second, 0, 0
 	}
-	if l.lines >= budget {
+	if l.bytes+size > budget {
 		l.dropped++
 		return false
 	}
-	l.lines++
+	l.bytes += size
 	return true
 }
 
+// lineSize estimates the bytes of a line.
+func lineSize(msg string, attrs []any) int {
+	size := lineOverhead + len(msg)
+	for i, a := range attrs {
+		text, ok := a.(string)
+		size += len(text)
+		if i%2 == 0 || !ok {
+			size += attrOverhead / 2
+		}
+	}
+	return size
+}
+
 func (l *decisionLog) sampled() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -67,29 +98,23 @@
 	if failed {
 		budget = logBudget
 	}
-	if !l.allow(budget) {
-		return
-	}
 	attrs := append(q.attrs(), "status", r.answer.Status,
 		"service_us", r.meta.ServiceUS, "waited_us", r.meta.WaitedUS,
 		"upstream_running", r.meta.Running, "upstream_queued", r.meta.Queued)
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
-	l.logger.Info("answered", attrs...)
+	l.write(budget, "answered", attrs)
 }
 
 // refused logs an answer in place of an upstream.
 func (l *decisionLog) refused(q *request, status int, r *verdict.Refusal, err error) {
-	if !l.allow(logBudget) {
-		return
-	}
 	attrs := append(q.attrs(), "status", status, "verdict", r.Verdict.String(), "reason", string(r.Reason),
 		"detail", r.Detail, "retry_after_ms", r.RetryAfter.Milliseconds())
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
-	l.logger.Info("refused", attrs...)
+	l.write(logBudget, "refused", attrs)
 }
 
 // attrs returns the inputs of the decisions on a request.
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -20,6 +20,9 @@
 	latency  *prometheus.HistogramVec
 	version  prometheus.Gauge
 	store    *prometheus.CounterVec
+	queued   prometheus.Histogram
+	service  prometheus.Histogram
+	omitted  prometheus.Counter
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -43,8 +46,22 @@
 			Name: "toucangw_gateway_store_calls_total",
 			Help: "Calls to the store, by call and outcome.",
 		}, []string{"call", "outcome"}),
+		queued: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "toucangw_gateway_queue_duration_seconds",
+			Help:    "Time that requests for the local upstream waited for a slot.",
+			Buckets: []float64{.001, .005, .01, .02, .05, .1, .2, .5, 1, 2},
+		}),
+		service: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "toucangw_gateway_upstream_duration_seconds",
+			Help:    "Time that the local upstream needed for its answers.",
+			Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+		}),
+		omitted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "toucangw_gateway_log_lines_omitted_total",
+			Help: "Decision lines left out because of the budget.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.version, m.store)
+	m.registry.MustRegister(m.requests, m.latency, m.version, m.store, m.queued, m.service, m.omitted)
 	m.initialise()
 	return m
 }
@@ -62,6 +79,23 @@
 	}
 }
 
+// observe registers the values that are read from a gateway at each scrape.
+func (m *Metrics) observe(g *Gateway) {
+	for _, v := range []struct {
+		name, help string
+		value      func() int
+	}{
+		{"toucangw_gateway_running", "Requests at the local upstream.", func() int { return g.load().Running }},
+		{"toucangw_gateway_queued", "Requests that wait for a slot of the local upstream.", func() int { return g.load().Queued }},
+		{"toucangw_gateway_slots", "Requests that may run at the local upstream at once.", func() int { return g.load().Limit }},
+		{"toucangw_gateway_upstreams", "Upstreams in the node's view.", g.known},
+		{"toucangw_gateway_in_flight", "Requests that the node is serving.", func() int { return int(g.InFlight()) }},
+	} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: v.name, Help: v.help},
+			func() float64 { return float64(v.value()) }))
+	}
+}
+
 // Handler serves the metrics as text.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
