--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -126,9 +125,16 @@
 	// The upstream needs the callers' listener for the calls of its requests in
 	// progress.
 	end := started.Add(s.settings.Drain.Grace - cutMargin)
-	_ = s.awaitEnd(time.Now().Add(time.Until(end) / 2))
+	awaitZero(time.Now().Add(time.Until(end)/2), s.gateway.InFlight)
 	s.callers.CloseListener()
-	err := s.awaitEnd(end)
+	s.peers.CloseListener()
+	awaitZero(end, func() int64 {
+		return s.gateway.InFlight() + int64(s.callers.Serving()+s.peers.Serving())
+	})
+	var err error
+	if s.gateway.InFlight() > 0 {
+		err = ErrCut
+	}
 	s.peers.Close()
 	s.callers.Close()
 	_ = s.readiness.Close()
@@ -141,18 +147,9 @@
 // upstream finishes its work.
 func (s *Server) lastWork() time.Duration { return s.settings.Drain.Announce / 4 }
 
-// awaitEnd waits until no request is in progress.
-func (s *Server) awaitEnd(deadline time.Time) error {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	check := time.NewTicker(idleCheck)
-	defer check.Stop()
-	for s.gateway.InFlight() > 0 {
-		select {
-		case <-ctx.Done():
-			return ErrCut
-		case <-check.C:
-		}
+// awaitZero waits until nothing is in progress or the deadline has passed.
+func awaitZero(deadline time.Time, inProgress func() int64) {
+	for inProgress() > 0 && time.Now().Before(deadline) {
+		time.Sleep(idleCheck)
 	}
-	return nil
 }
--- a/node/h1/server.go
+++ b/node/h1/server.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"context"
 	"errors"
 	"net"
 	"sync"
@@ -26,7 +25,7 @@
 	limits  func() Limits
 
 	draining atomic.Bool
-	open     sync.WaitGroup
+	serving  atomic.Int64
 
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
@@ -66,7 +65,7 @@
 		tune(nc)
 		c := newServerConn(s, nc)
 		s.add(c)
-		s.open.Go(c.serve)
+		go c.serve()
 	}
 }
 
@@ -89,6 +88,7 @@
 	defer s.mu.Unlock()
 	c.single = len(s.conns) >= crowded
 	s.conns[c] = struct{}{}
+	s.serving.Add(1)
 }
 
 func (s *Server) remove(c *serverConn) {
@@ -119,20 +119,9 @@
 	}
 }
 
-// Wait returns when all connections have ended, or with the error of ctx.
-func (s *Server) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.open.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+// Serving returns the number of connections that carry a request or may still
+// bring one. After CloseListener it falls to zero.
+func (s *Server) Serving() int { return int(s.serving.Load()) }
 
 // Close closes all connections at once.
 func (s *Server) Close() {
--- a/node/h1/serverconn.go
+++ b/node/h1/serverconn.go
@@ -78,6 +78,7 @@
 	}
 	c.cancel()
 	c.handlers.Wait()
+	c.server.serving.Add(-1)
 	if c.closing.Load() {
 		c.linger()
 	}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay forwards TCP connections and can make the open ones silent,
-// as a network does that drops packets of some flows.
+// Package relay forwards TCP connections and can delay, hold, drop and silence
+// them, as a network does that is slow, cut one way or loses some flows.
 package relay
 
 import (
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Relay is safe for concurrent use.
@@ -15,8 +16,19 @@
 	target string
 	wg     sync.WaitGroup
 
-	mu    sync.Mutex
-	pairs map[*pair]bool
+	mu     sync.Mutex
+	pairs  map[*pair]bool
+	faults Faults
+	closed bool
+}
+
+// Faults delay the bytes of all connections. The zero value has none.
+type Faults struct {
+	// Delay is waited before each piece is passed on.
+	Delay time.Duration
+	// HoldRequests and HoldAnswers keep the bytes to the target, or from it,
+	// until the fault is cleared, as a cut link does that is mended.
+	HoldRequests, HoldAnswers bool
 }
 
 type pair struct {
@@ -48,6 +60,30 @@
 	}
 }
 
+// SetFaults replaces the faults.
+func (r *Relay) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// await waits until bytes in a direction may pass, or the relay is closed.
+func (r *Relay) await(toTarget bool) {
+	for {
+		r.mu.Lock()
+		f, closed := r.faults, r.closed
+		r.mu.Unlock()
+		if closed || (toTarget && !f.HoldRequests) || (!toTarget && !f.HoldAnswers) {
+			time.Sleep(f.Delay)
+			return
+		}
+		time.Sleep(holdCheck)
+	}
+}
+
+// holdCheck is the interval at which held bytes look for the end of the fault.
+const holdCheck = 5 * time.Millisecond
+
 // Drop ends the connections that are open now. New ones work.
 func (r *Relay) Drop() {
 	r.mu.Lock()
@@ -61,6 +97,7 @@
 func (r *Relay) Close() {
 	_ = r.lis.Close()
 	r.mu.Lock()
+	r.closed = true
 	for p := range r.pairs {
 		p.close()
 	}
@@ -88,15 +125,16 @@
 		r.mu.Lock()
 		r.pairs[p] = true
 		r.mu.Unlock()
-		r.wg.Go(func() { r.forward(p, client, server) })
-		r.wg.Go(func() { r.forward(p, server, client) })
+		r.wg.Go(func() { r.forward(p, client, server, true) })
+		r.wg.Go(func() { r.forward(p, server, client, false) })
 	}
 }
 
-func (r *Relay) forward(p *pair, from io.Reader, to io.Writer) {
+func (r *Relay) forward(p *pair, from io.Reader, to io.Writer, toTarget bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		r.await(toTarget)
 		if n > 0 && !p.silent.Load() {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,193 @@
+// Package site runs a small deployment of the users' platform on one machine:
+// a stand-in of its store, upstreams, and the real daemon beside each of them,
+// with relays between the processes that can fail.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"toucangw.example/standin/backend"
+	"toucangw.example/standin/metastore"
+)
+
+// VirtualHost is the host of all routes.
+const VirtualHost = "shop.example"
+
+const (
+	callersPort   = 7801
+	peersPort     = 7810
+	readinessPort = 7802
+	metricsPort   = 7621
+	upstreamPort  = 9000
+)
+
+// Service is a kind of upstream.
+type Service struct {
+	Name  string
+	Hosts int
+	Slots int
+	Work  time.Duration
+	// Calls is the path that each request calls on another service; empty for
+	// none.
+	Calls string
+}
+
+// Route is a route of the configuration.
+type Route struct {
+	Prefix   string
+	Kind     string
+	Service  string
+	Priority int
+	Timeout  time.Duration
+}
+
+// Config of a Site.
+type Config struct {
+	// Daemon is the path of the program.
+	Daemon string
+	// Template is the path of the settings' template.
+	Template string
+	// Dir takes the settings and logs of the nodes.
+	Dir      string
+	Services []Service
+	// Block is the second number of the loopback addresses, 0 to 255, so that
+	// several sites can run at once.
+	Block int
+	// Grace bounds a planned stop.
+	Grace time.Duration
+}
+
+// Site is a running deployment.
+type Site struct {
+	Store *metastore.Store
+	Hosts []*Host
+
+	cfg      Config
+	address  string // of the store
+	server   *http.Server
+	template string
+	born     int64
+}
+
+// Start runs a deployment. Its nodes are not ready before Configure.
+func Start(ctx context.Context, cfg Config) (*Site, error) {
+	template, err := os.ReadFile(cfg.Template)
+	if err != nil {
+		return nil, fmt.Errorf("settings' template: %w", err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{
+		Store: metastore.New(storePage), cfg: cfg, address: lis.Addr().String(),
+		template: string(template), born: time.Now().UnixMilli(),
+	}
+	s.server = &http.Server{Handler: s.Store, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(lis) }()
+	for zone, service := range cfg.Services {
+		for i := range service.Hosts {
+			h, err := s.newHost(ctx, service, fmt.Sprintf("zone-%d", (zone+i)%2))
+			if err != nil {
+				s.Close()
+				return nil, err
+			}
+			s.Hosts = append(s.Hosts, h)
+		}
+	}
+	return s, nil
+}
+
+const storePage = 50
+
+// Close ends all processes.
+func (s *Site) Close() {
+	for _, h := range s.Hosts {
+		h.close()
+	}
+	_ = s.server.Close()
+}
+
+// Configure publishes a configuration.
+func (s *Site) Configure(version int, routes []Route) error {
+	rules := make([]any, 0, len(routes))
+	for _, r := range routes {
+		rules = append(rules, map[string]any{
+			"name": "r" + r.Prefix, "path-prefix": r.Prefix, "kind": r.Kind, "timeout": r.Timeout.String(),
+			"target-latency": (r.Timeout / 2).String(), "priority": r.Priority, "service": r.Service, "max-attempts": 2,
+		})
+	}
+	services := make([]any, 0, len(s.cfg.Services))
+	for _, service := range s.cfg.Services {
+		services = append(services, map[string]any{"name": service.Name, "health-check-path": "/health", "max-connections": 400})
+	}
+	doc, err := json.Marshal(map[string]any{
+		"version":       version,
+		"virtual-hosts": []any{map[string]any{"host": VirtualHost, "path-rules": rules}},
+		"services":      services,
+		"limits": map[string]any{
+			"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout": "2s", "idle-timeout": "10s",
+		},
+	})
+	if err != nil {
+		return err
+	}
+	s.Store.Put("op/config", doc)
+	return nil
+}
+
+// Runs returns the requests that ran at any upstream.
+func (s *Site) Runs() []backend.Run {
+	var out []backend.Run
+	for _, h := range s.Hosts {
+		for _, b := range h.lifetimes() {
+			out = append(out, b.Runs()...)
+		}
+	}
+	return out
+}
+
+// AwaitReady waits until all nodes take requests.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	for _, h := range s.Hosts {
+		if err := h.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settings fills in the template for a host.
+func (s *Site) settings(h *Host) (path string, err error) {
+	text := strings.NewReplacer(
+		"{{node-name}}", h.Name,
+		"{{zone}}", h.Zone,
+		"{{service}}", h.Service.Name,
+		"{{listen-addresses.outbound}}", address(h.IP, callersPort),
+		"{{listen-addresses.inbound}}", address(h.IP, peersPort),
+		"{{listen-addresses.ready}}", address(h.IP, readinessPort),
+		"{{ip-address}}", h.IP,
+		"{{application-address}}", address(h.front, upstreamPort),
+		"{{platform.address}}", s.address,
+		"{{bounds.grace-period}}", s.cfg.Grace.String(),
+		"{{bounds.retry-budget-ratio}}", "0.2",
+		"{{bounds.budget-window}}", "10s",
+		"{{bounds.retry-budget-slack}}", "50",
+	).Replace(s.template)
+	path = filepath.Join(s.cfg.Dir, h.Name+".toml")
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
+// errStopped is returned for a signal to a process that does not run.
+var errStopped = errors.New("the node does not run")
