storefeed: few linearizable reads while the store is empty

Cause: all nodes start some seconds before the first entries are written, and each read the configuration and the upstreams ten times a second without the stale mark.

Change: while nothing is found, one read in ten is a linearizable one and the others are stale reads, which cost a tenth.

--- a/node/storefeed/feed.go
+++ b/node/storefeed/feed.go
@@ -26,8 +26,11 @@
 	ownWait = 15 * time.Second
 	// listPoll is the interval of reads of all entries.
 	listPoll = 900 * time.Millisecond
-	// startPoll is the interval of reads until the first has succeeded.
-	startPoll = 100 * time.Millisecond
+	// startPoll is the interval of reads until the first has found something.
+	// All but one in startFresh of them are stale reads, which are cheap: all
+	// nodes may start before anything is in the store.
+	startPoll  = 100 * time.Millisecond
+	startFresh = 10
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -170,7 +173,7 @@
 			wait.reset()
 		case errors.Is(err, ErrNotFound):
 			after = 0
-			pause(ctx, startPoll)
+			f.awaitConfig(ctx)
 		default:
 			after = 0
 			pause(ctx, wait.next())
@@ -178,6 +181,27 @@
 	}
 }
 
+// awaitConfig returns when a stale read has found a configuration, or when it
+// is time for another linearizable one.
+func (f *Feed) awaitConfig(ctx context.Context) {
+	for range startFresh - 1 {
+		if !pause(ctx, startPoll) {
+			return
+		}
+		err := f.call(ctx, "config-stale", callTimeout, func(ctx context.Context) error {
+			c, _, err := f.cfg.Source.Config(ctx, true)
+			if err == nil {
+				f.adopt(c, "config-stale")
+			}
+			return err
+		})
+		if !errors.Is(err, ErrNotFound) {
+			return
+		}
+	}
+	pause(ctx, startPoll)
+}
+
 // configOnce reads the configuration if the last revision is unknown, and
 // waits for the next one otherwise.
 func (f *Feed) configOnce(ctx context.Context, after *uint64) error {
@@ -311,7 +335,7 @@
 func (f *Feed) pollList(ctx context.Context) {
 	interval := startPoll
 	stale := false
-	for ctx.Err() == nil {
+	for reads := 1; ctx.Err() == nil; reads++ {
 		var read *directory.Snapshot
 		err := f.call(ctx, "upstreams", callTimeout, func(ctx context.Context) error {
 			var err error
@@ -320,8 +344,10 @@
 		})
 		if err == nil && read.Len() > 0 {
 			f.takeList(read, "store")
-			interval, stale = listPoll, true
+			interval = listPoll
 		}
+		// The reads of a node that knows the upstreams are stale ones.
+		stale = interval == listPoll || reads%startFresh != 0
 		pause(ctx, interval)
 	}
 }
