--- /dev/null
+++ b/cmd/internal/platformdemo/summary.go
@@ -0,0 +1,38 @@
+package platformdemo
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"toucangw.example/standin/site"
+)
+
+// summary counts what came of requests.
+func summary(name string, attempts []site.Attempt) Phase {
+	p := Phase{Name: name, Attempts: len(attempts)}
+	var took []time.Duration
+	for _, a := range attempts {
+		switch a.Status {
+		case http.StatusOK:
+			p.Answered++
+			took = append(took, a.Took)
+		case http.StatusServiceUnavailable:
+			p.Refused++
+		default:
+			p.Failed++
+		}
+	}
+	slices.Sort(took)
+	p.P50MS, p.P99MS = quantile(took, 0.5), quantile(took, 0.99)
+	return p
+}
+
+// quantile returns a quantile of sorted times in milliseconds.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	at := sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+	return float64(at) / float64(time.Millisecond)
+}
--- a/cmd/toucangwctl/demo.go
+++ b/cmd/toucangwctl/demo.go
@@ -3,17 +3,25 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"toucangw.example/cmd/internal/demo"
+	"toucangw.example/cmd/internal/platformdemo"
 )
 
 const demoHelp = `Starts the Antwerp example on loopback as real processes (platform, 13 upstreams with their nodes, callers) and takes it through a surge, a slow service, a leaving host, a silent connection and a configuration change.
 
+With --platform it starts six upstreams on a stand-in of the users' platform instead, with toucangwd in gateway mode beside each, and takes them through a planned stop, a killed node, a store that is away and a surge.
+
 Examples:
   toucangwctl demo
   toucangwctl demo --json > summary.json
+  toucangwctl demo --platform
 
 Exit codes:
   0  every promise held
@@ -35,6 +43,8 @@
 	Bin      string `long:"bin" value-name:"DIR" description:"directory of toucangwd and standin (default: that of toucangwctl)"`
 	Examples string `long:"examples" value-name:"DIR" default:"examples/drooglog" description:"directory of the example files"`
 	Seed     uint64 `long:"seed" default:"1" description:"seed of arrivals and kinds"`
+	Platform bool   `long:"platform" description:"run on a stand-in of the users' platform"`
+	Template string `long:"template" value-name:"FILE" default:"deploy/node.toml" description:"template of the nodes' settings, with --platform"`
 
 	env *environment
 }
@@ -54,24 +64,56 @@
 	if c.JSON {
 		progress = c.env.err
 	}
+	if c.Platform {
+		return c.runPlatform(ctx, bin, progress)
+	}
 	report, err := demo.Run(ctx, demo.Config{
 		Bin: bin, Examples: c.Examples, KeepLogs: c.KeepLogs, Progress: progress, Seed: c.Seed,
 	})
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		encoder := json.NewEncoder(c.env.out)
-		encoder.SetIndent("", "  ")
-		err = encoder.Encode(report)
+	if err := c.print(report); err != nil {
+		return err
+	}
+	if !report.OK {
+		return &exitError{code: exitProblems}
+	}
+	return nil
+}
+
+// runPlatform plays the demo on the stand-in of the platform.
+func (c *demoCommand) runPlatform(ctx context.Context, bin string, progress io.Writer) error {
+	dir, err := os.MkdirTemp("", "toucangw-demo-")
+	if err != nil {
+		return err
+	}
+	if c.KeepLogs {
+		_, _ = fmt.Fprintln(progress, "logs:", dir)
 	} else {
-		err = report.Write(c.env.out)
+		defer func() { _ = os.RemoveAll(dir) }()
 	}
+	report, err := platformdemo.Run(ctx, platformdemo.Config{
+		Daemon: filepath.Join(bin, "toucangwd"), Template: c.Template, Dir: dir, Progress: progress,
+	})
 	if err != nil {
 		return err
 	}
-	if !report.OK {
+	if err := c.print(report); err != nil {
+		return err
+	}
+	if len(report.Broken) > 0 {
 		return &exitError{code: exitProblems}
 	}
 	return nil
 }
+
+// print writes a report as JSON or as text.
+func (c *demoCommand) print(report interface{ Write(io.Writer) error }) error {
+	if !c.JSON {
+		return report.Write(c.env.out)
+	}
+	encoder := json.NewEncoder(c.env.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
--- a/standin/site/clients_test.go
+++ b/standin/site/clients_test.go
@@ -1,11 +1,9 @@
 package site
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -21,22 +19,11 @@
 	clientPause    = 15 * time.Millisecond
 	clientDeadline = 1500 * time.Millisecond
 	probePause     = 100 * time.Millisecond
-	// patience is the time beyond a deadline in which the final answer comes.
-	patience = 600 * time.Millisecond
 	// configLimit is the time in which a configuration is in force.
 	configLimit = 2 * time.Second
 	largeBody   = 300 << 10
 )
 
-// attempt is one request of a client and what came of it.
-type attempt struct {
-	id     string
-	path   string
-	sent   time.Time
-	status int // 0: no answer
-	err    error
-}
-
 // clients send requests to all nodes and keep what came of them.
 type clients struct {
 	w      *world
@@ -46,7 +33,7 @@
 	number atomic.Uint64
 
 	mu       sync.Mutex
-	attempts []attempt
+	attempts []Attempt
 }
 
 func newClients(w *world) *clients {
@@ -89,40 +76,14 @@
 	}
 }
 
-// do sends one request and checks its answer by itself.
-func (c *clients) do(transport *http.Transport, h *Host, path, body string) attempt {
-	a := attempt{id: fmt.Sprintf("client-%d", c.number.Add(1)), path: path, sent: time.Now()}
-	method := http.MethodGet
-	if strings.HasPrefix(path, "/once/") {
-		method = http.MethodPost
-		body += a.id
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline+patience)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.Callers()+path, bytes.NewReader([]byte(body)))
-	if err != nil {
-		c.w.t.Error(err)
-		return a
-	}
-	r.Host = VirtualHost
-	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Deadline-Milliseconds", fmt.Sprint(clientDeadline.Milliseconds()))
-	response, err := transport.RoundTrip(r)
-	if err == nil {
-		a.status = response.StatusCode
-		var data []byte
-		data, err = io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		if err == nil && a.status == http.StatusOK {
-			assert.Equal(c.w.t, "answer to "+a.id, string(data))
-			assert.NotEmpty(c.w.t, response.Header.Get("Response-Signature"))
-			assert.Equal(c.w.t, a.id, response.Header.Get("Request-Id"))
-		}
-	}
-	a.err = err
+// do sends one request and keeps what came of it.
+func (c *clients) do(transport *http.Transport, h *Host, path, body string) Attempt {
+	a := h.Send(transport, Request{
+		ID: fmt.Sprintf("client-%d", c.number.Add(1)), Path: path, Body: body, Deadline: clientDeadline,
+	})
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, a)
-	c.mu.Unlock()
 	return a
 }
 
@@ -146,11 +107,11 @@
 			continue // the node may have a newer one, without this route
 		}
 		switch {
-		case a.status == http.StatusNotFound && newest >= version:
+		case a.Status == http.StatusNotFound && newest >= version:
 			c.w.t.Errorf("%s went back from version %d to an older one", h.Name, newest)
-		case a.status == http.StatusNotFound && c.w.planned && sent.Sub(changed) > configLimit:
+		case a.Status == http.StatusNotFound && c.w.planned && sent.Sub(changed) > configLimit:
 			c.w.t.Errorf("%s does not have version %d after %s", h.Name, version, sent.Sub(changed))
-		case a.status == http.StatusOK:
+		case a.Status == http.StatusOK:
 			newest = max(newest, version)
 		}
 	}
@@ -163,33 +124,25 @@
 	for _, h := range c.w.site.Hosts {
 		for _, path := range []string{"/front/x", "/once/x", "/deep/x"} {
 			a := c.do(transport, h, path, "")
-			assert.Equal(c.w.t, http.StatusOK, a.status, "%s of %s: %v", path, h.Name, a.err)
+			assert.Equal(c.w.t, http.StatusOK, a.Status, "%s of %s: %v", path, h.Name, a.Err)
 		}
 	}
 }
 
 // checkRuns compares the answers with what ran at the upstreams.
 func (c *clients) checkRuns() {
+	assert.Empty(c.w.t, c.w.site.Judge(c.attempts))
 	runs := map[string]int{}
 	for _, r := range c.w.site.Runs() {
 		runs[r.ID]++
-		if strings.HasPrefix(r.Target, "/once/") {
-			assert.True(c.w.t, strings.HasSuffix(r.Body, r.ID), "the body of %s is another one", r.ID)
-		}
 	}
 	served := 0
 	for _, a := range c.attempts {
-		if strings.HasPrefix(a.path, "/once/") {
-			assert.LessOrEqual(c.w.t, runs[a.id], 1, "%s ran more than once", a.id)
-		}
-		switch a.status {
+		switch a.Status {
 		case http.StatusOK:
 			served++
-			assert.Positive(c.w.t, runs[a.id], "%s was answered without a run", a.id)
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
-			assert.Zero(c.w.t, runs[a.id], "%s ran, though %d says that it did not", a.id, a.status)
 		case 0:
-			c.checkCut(a, runs[a.id])
+			c.checkCut(a, runs[a.ID])
 		}
 	}
 	assert.Greater(c.w.t, served, len(c.attempts)/4, "of %d attempts", len(c.attempts))
@@ -199,10 +152,10 @@
 // checkCut allows an attempt without an answer only where an unplanned fault
 // may have caused it, or where the connection was refused or closed before the
 // request was read.
-func (c *clients) checkCut(a attempt, runs int) {
-	if !c.w.planned || errors.Is(a.err, syscall.ECONNREFUSED) {
+func (c *clients) checkCut(a Attempt, runs int) {
+	if !c.w.planned || errors.Is(a.Err, syscall.ECONNREFUSED) {
 		return
 	}
-	assert.Zero(c.w.t, runs, "%s ran and was cut during planned work: %v", a.id, a.err)
-	assert.NotErrorIs(c.w.t, a.err, context.DeadlineExceeded, "%s got no final answer", a.id)
+	assert.Zero(c.w.t, runs, "%s ran and was cut during planned work: %v", a.ID, a.Err)
+	assert.NotErrorIs(c.w.t, a.Err, context.DeadlineExceeded, "%s got no final answer", a.ID)
 }
--- /dev/null
+++ b/standin/site/load.go
@@ -0,0 +1,128 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// OncePrefix begins the paths whose requests may run at most once.
+const OncePrefix = "/once/"
+
+// patience is the time beyond a deadline in which the final answer comes.
+const patience = 600 * time.Millisecond
+
+// Request is one request of a client.
+type Request struct {
+	ID       string
+	Path     string
+	Body     string
+	Deadline time.Duration
+}
+
+// Attempt is a request and what came of it.
+type Attempt struct {
+	Request
+	Sent   time.Time
+	Took   time.Duration
+	Status int // 0: no answer
+	Err    error
+	// Wrong says what is wrong with a 200 by itself; empty if nothing is.
+	Wrong string
+}
+
+// Send sends a request to the node of a host. Those below OncePrefix are POSTs
+// whose body ends with their id.
+func (h *Host) Send(transport http.RoundTripper, q Request) Attempt {
+	a := Attempt{Request: q, Sent: time.Now()}
+	a.Status, a.Err = h.send(transport, &a)
+	a.Took = time.Since(a.Sent)
+	return a
+}
+
+func (h *Host) send(transport http.RoundTripper, a *Attempt) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Deadline+patience)
+	defer cancel()
+	method, body := http.MethodGet, a.Body
+	if strings.HasPrefix(a.Path, OncePrefix) {
+		method, body = http.MethodPost, a.Body+a.ID
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.Callers()+a.Path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, err
+	}
+	r.Host = VirtualHost
+	r.Header.Set("Request-Id", a.ID)
+	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(a.Deadline.Milliseconds(), 10))
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode == http.StatusOK {
+		a.Wrong = wrong(a.ID, response.Header, string(data))
+	}
+	return response.StatusCode, nil
+}
+
+// wrong says what is wrong with an answer of an upstream.
+func wrong(id string, header http.Header, body string) string {
+	switch {
+	case header.Get("Request-Id") != id:
+		return fmt.Sprintf("%s has the answer of %q", id, header.Get("Request-Id"))
+	case header.Get("Response-Signature") == "":
+		return id + " has an answer without the upstream's signature"
+	case body != "answer to "+id:
+		return fmt.Sprintf("%s has the body %q", id, body)
+	}
+	return ""
+}
+
+// Judge compares the answers with what ran at the upstreams and returns what
+// is wrong: requests that ran more than once though they must not, refusals
+// that say a request has not run though it did, answers without a run.
+func (s *Site) Judge(attempts []Attempt) []string {
+	var out []string
+	runs := map[string]int{}
+	for _, r := range s.Runs() {
+		runs[r.ID]++
+		if strings.HasPrefix(r.Target, OncePrefix) && !strings.HasSuffix(r.Body, r.ID) {
+			out = append(out, r.ID+" ran with another body")
+		}
+	}
+	for _, a := range attempts {
+		ran := runs[a.ID]
+		if strings.HasPrefix(a.Path, OncePrefix) && ran > 1 {
+			out = append(out, fmt.Sprintf("%s ran %d times", a.ID, ran))
+		}
+		if a.Status == http.StatusOK && ran == 0 {
+			out = append(out, a.ID+" was answered without a run")
+		}
+		if promisesNotRun(a.Status) && ran > 0 {
+			out = append(out, fmt.Sprintf("%s ran, though %d says that it did not", a.ID, a.Status))
+		}
+		if a.Wrong != "" {
+			out = append(out, a.Wrong)
+		}
+	}
+	return out
+}
+
+// promisesNotRun reports whether a status promises that the request has not
+// run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
+		return true
+	}
+	return false
+}
