rootshare: reopen fast after a surge while slots are free

Cause: after the surge of the demo the reads were refused for 2.5 s more, while the upstreams ran at a third of their slots: a share grew by 0.6 a second whatever the load.

Change: it grows by 3 a second while the arrivals fill less than 70% of the capacity.

--- a/core/rootshare/rootshare.go
+++ b/core/rootshare/rootshare.go
@@ -58,6 +58,11 @@
 	// whose calls wait; openPace is the increase per second once they do not.
 	restrictPace = 6
 	openPace     = 0.6
+	// idlePace is the increase per second while the arrivals fill less than
+	// idleShare of the capacity, as after a surge: then a share that is too
+	// large cannot overload the upstream at once.
+	idlePace  = 3
+	idleShare = 0.7
 	// announce is how long the share of a route is stated after it was
 	// restricted, so that all nodes hear of the end.
 	announce = time.Second
@@ -191,19 +196,33 @@
 		}
 	}
 	over := (worst - waitTarget.Seconds()) / waitSpan.Seconds()
+	open := e.openPace() * passed.Seconds()
 	for _, d := range e.routes {
 		switch {
 		case over <= 0 && d.priority <= last:
-			d.factor = min(1, d.factor+openPace*passed.Seconds())
+			d.factor = min(1, d.factor+open)
 		case over > 0 && d.priority == last:
 			d.factor *= math.Exp(-restrictPace * min(over, 1) * passed.Seconds())
 			d.factor = max(d.factor, MinShare)
 		case d.priority > last && d.wait <= waitTarget.Seconds():
-			d.factor = min(1, d.factor+openPace*passed.Seconds())
+			d.factor = min(1, d.factor+open)
 		}
 	}
 }
 
+// openPace returns the increase per second of the shares of routes whose calls
+// do not wait.
+func (e *Estimator) openPace() float64 {
+	arrived := 0.0
+	for _, d := range e.routes {
+		arrived += d.arrived
+	}
+	if arrived < idleShare*e.capacity {
+		return idlePace
+	}
+	return openPace
+}
+
 // divide gives the capacity to the routes in order of their priority. Routes
 // of one priority get the same share.
 func (e *Estimator) divide(now time.Time, capacity float64) {
--- a/core/rootshare/rootshare_test.go
+++ b/core/rootshare/rootshare_test.go
@@ -262,3 +262,25 @@
 	assert.LessOrEqual(t, shares["read"], 0.35)
 	assert.NotContains(t, shares, "signoff")
 }
+
+// Guards against refusals after the end of a surge, while slots are free.
+func TestSharesReopenSoonAfterASurge(t *testing.T) {
+	e := NewEstimator()
+	var shares map[string]float64
+	now := testNow
+	for range 100 {
+		now = play(e, shares, []load{{"signoff", 0, 15, 30 * time.Millisecond}, {"read", 2, 60, 30 * time.Millisecond}}, now, 1)
+		for range 10 {
+			e.Waited("read", 120*time.Millisecond)
+		}
+		shares = asMap(e.Shares(now, 100, anywhere))
+	}
+	require.LessOrEqual(t, shares["read"], 0.1)
+	for range 120 {
+		now = play(e, shares, []load{{"signoff", 0, 5, 30 * time.Millisecond}, {"read", 2, 10, 30 * time.Millisecond}}, now, 1)
+		e.Waited("read", 0)
+		shares = asMap(e.Shares(now, 100, anywhere))
+	}
+	read, restricted := shares["read"]
+	assert.True(t, !restricted || read >= 0.95, "%f", read)
+}
