--- a/cmd/toucangwctl/trace.go
+++ b/cmd/toucangwctl/trace.go
@@ -69,6 +69,7 @@
 	TookUS   int64     `json:"took_us"`
 	WaitedUS int64     `json:"waited_us"`
 	Share    float64   `json:"share"`
+	Queued   int       `json:"upstream_queued"`
 }
 
 // Execute implements flags.Commander.
--- a/cmd/toucangwd/gateway.go
+++ b/cmd/toucangwd/gateway.go
@@ -56,7 +56,7 @@
 		_, _ = fmt.Fprintln(stderr, "toucangwd:", err)
 		return exitFailed
 	}
-	logger.Info("started", "version", version(), "zone", s.Host.Zone, "service", s.Host.Service)
+	logger.Info("started", "program_version", version(), "zone", s.Host.Zone, "service", s.Host.Service)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go feed.Run(ctx)
