--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	go test -count=1 -timeout 15m $(PACKAGES)
 
 test: setup fmt lint unit ## everything that CI runs
+	@cat KNOWN-RED.txt
 
 demo: build ## the main job on real processes over loopback
 	./bin/toucangwctl demo
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -49,7 +49,8 @@
 	Allowance retryshare.Allowance
 	Headers   HeaderNames
 	Logger    *slog.Logger
-	Metrics   *Metrics
+	// Metrics of this gateway alone: it registers values of its own.
+	Metrics *Metrics
 	// OnNewer is told that a node has a newer configuration. It must not block.
 	OnNewer func(version uint64, peer string)
 }
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -57,16 +57,25 @@
 		IP: fmt.Sprintf("127.90.%d.%d", s.cfg.Block, n), front: fmt.Sprintf("127.91.%d.%d", s.cfg.Block, n),
 		calls: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: service.Slots}},
 	}
+	if err := h.open(); err != nil {
+		h.close()
+		return nil, fmt.Errorf("%s: %w", h.Name, err)
+	}
+	return h, nil
+}
+
+// open starts the relays, the upstream and the node.
+func (h *Host) open() error {
 	var err error
 	if h.Peers, err = relay.Listen(address(h.front, peersPort), address(h.IP, peersPort)); err != nil {
-		return nil, err
+		return err
 	}
 	if h.Upstream, err = relay.Listen(address(h.front, upstreamPort), address(h.IP, upstreamPort)); err != nil {
-		return nil, err
+		return err
 	}
 	lis, err := net.Listen("tcp", address(h.IP, upstreamPort))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	h.server = &http.Server{
 		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.back.Load().ServeHTTP(w, r) }),
@@ -74,10 +83,10 @@
 	}
 	go func() { _ = h.server.Serve(lis) }()
 	h.Replace()
-	if h.settings, err = s.settings(h); err != nil {
-		return nil, err
+	if h.settings, err = h.site.settings(h); err != nil {
+		return err
 	}
-	return h, h.Start()
+	return h.Start()
 }
 
 // Replace begins a new lifetime of the upstream; the earlier one is gone.
@@ -251,14 +260,19 @@
 	return nil
 }
 
-// close ends the node and its upstream.
+// close ends the node and its upstream, as far as they were started.
 func (h *Host) close() {
 	if h.cmd != nil {
 		_ = h.Signal(syscall.SIGCONT)
 		_ = h.Signal(syscall.SIGKILL)
 		h.Wait()
 	}
-	_ = h.server.Close()
-	h.Peers.Close()
-	h.Upstream.Close()
+	if h.server != nil {
+		_ = h.server.Close()
+	}
+	for _, r := range []*relay.Relay{h.Peers, h.Upstream} {
+		if r != nil {
+			r.Close()
+		}
+	}
 }
--- a/standin/site/soak_test.go
+++ b/standin/site/soak_test.go
@@ -31,7 +31,7 @@
 var regressionSeeds = []uint64{
 	1,   // a request on a kept connection was cut when the listener had closed
 	2,   // all faults
-	205, // a signal during the start of the process ended it
+	205, // a signal during the start of a process ended it; the soak waits for the start now
 }
 
 // TestSoak runs the real daemon beside each upstream, injects faults from
