--- a/cmd/internal/nodecmd/gateway.go
+++ b/cmd/internal/nodecmd/gateway.go
@@ -64,7 +64,7 @@
 	g := gateway.New(cfg)
 	watcher = discovery.New(discovery.Config{
 		Source: platform.NewStore(s.Store.String(), logger), Sink: g, Logger: logger,
-		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall, FromPeer: g.View,
+		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall, FromPeer: g.View, OnPanic: g.OnPanic,
 	})
 	srv, err := gateway.NewServer(g, s, logger, platform.ReadinessPath, platform.MetricsPath)
 	if err != nil {
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// data.
 	initialPoll       = 100 * time.Millisecond
 	linearizableEvery = 10
+	// staleFallback is the time after the start in which only linearizable reads
+	// are used until one succeeds.
+	staleFallback = 2 * time.Second
 	// firstBackoff and maxBackoff bound the delay after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -52,6 +56,9 @@
 	Logger  *slog.Logger
 	// Count is called after each call to the store, with its name and result.
 	Count func(call string, err error)
+	// OnPanic is called with the value and the stack of a panic in a loop of the
+	// Watcher, which then starts again.
+	OnPanic func(value any, stack []byte)
 	// FromPeer fetches the configuration document and the upstreams known to
 	// another node.
 	FromPeer func(ctx context.Context, peer string) ([]byte, *directory.Snapshot, error)
@@ -89,14 +96,29 @@
 // Run reads the store until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { w.watchConfig(ctx) })
-	loops.Go(func() { w.pollConfig(ctx) })
-	loops.Go(func() { w.fetchNewer(ctx) })
-	loops.Go(func() { w.pollList(ctx) })
-	loops.Go(func() { w.watchLocal(ctx) })
+	for _, loop := range []func(context.Context){w.watchConfig, w.pollConfig, w.fetchNewer, w.pollList, w.watchLocal} {
+		loops.Go(func() {
+			for ctx.Err() == nil && w.panics(ctx, loop) {
+				pause(ctx, maxBackoff)
+			}
+		})
+	}
 	loops.Wait()
 }
 
+// panics runs a loop and reports whether it ended with a panic, for instance
+// because of an entry that the decoder does not expect.
+func (w *Watcher) panics(ctx context.Context, loop func(context.Context)) (panicked bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			w.cfg.OnPanic(v, debug.Stack())
+			panicked = true
+		}
+	}()
+	loop(ctx)
+	return false
+}
+
 // call runs one call to the store with a time limit and counts it.
 func (w *Watcher) call(ctx context.Context, name string, limit time.Duration, run func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -345,7 +367,8 @@
 // pollList keeps the list of all upstreams up to date.
 func (w *Watcher) pollList(ctx context.Context) {
 	interval := initialPoll
-	stale := false
+	stale, empty := false, false
+	started := time.Now()
 	for reads := 1; ctx.Err() == nil; reads++ {
 		var read *directory.Snapshot
 		err := w.call(ctx, "upstreams", callTimeout, func(ctx context.Context) error {
@@ -357,8 +380,11 @@
 			w.updateList(read, "store")
 			interval = listPoll
 		}
-		// Once the upstreams are known, all reads are stale reads.
-		stale = interval == listPoll || reads%linearizableEvery != 0
+		empty = empty || err == nil && read.Len() == 0
+		// Once the upstreams are known, all reads are stale reads. Before that, an
+		// old read might return upstreams that left before this process started.
+		mayBeStale := empty || time.Since(started) > staleFallback
+		stale = interval == listPoll || mayBeStale && reads%linearizableEvery != 0
 		pause(ctx, interval)
 	}
 }
--- a/node/discovery/watcher_test.go
+++ b/node/discovery/watcher_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +118,108 @@
 	assert.Greater(t, stale, 10)
 	require.Eventually(t, sink.complete, time.Second, 10*time.Millisecond)
 }
+
+// restartSource is a store whose linearizable reads fail at first and whose stale
+// reads still return an upstream that has left.
+type restartSource struct {
+	fakeSource
+	failUntil time.Time
+	left      directory.Upstream
+}
+
+func (s *restartSource) Upstreams(ctx context.Context, stale bool) (*directory.Snapshot, error) {
+	if stale {
+		return directory.NewSnapshot(1, []directory.Upstream{s.left}), nil
+	}
+	if time.Now().Before(s.failUntil) {
+		return nil, errors.New("busy")
+	}
+	return s.fakeSource.Upstreams(ctx, false)
+}
+
+// Guards against a process that starts while the store is busy and uses a
+// upstream that had left before its start, from a read that is seconds old.
+func TestStartUsesNoUpstreamThatHasLeft(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	entry := func(id string) directory.Upstream {
+		return directory.Upstream{ID: id, Service: "s", Address: address, Slots: 1}
+	}
+	source := &restartSource{
+		fakeSource: fakeSource{filled: true, upstream: entry("present")},
+		failUntil:  time.Now().Add(500 * time.Millisecond), left: entry("left"),
+	}
+	sink := &listRecorder{seen: map[string]bool{}}
+	runWatcher(t, Config{Source: source, Sink: sink, Service: "s", Address: address})
+	assert.Eventually(t, func() bool { return sink.has("present") }, 3*time.Second, 10*time.Millisecond)
+	assert.False(t, sink.has("left"))
+}
+
+// listRecorder is a Sink that records which upstreams it has ever received.
+type listRecorder struct {
+	recorder
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+func (r *listRecorder) SetHosts(s *directory.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range s.All() {
+		r.seen[u.ID] = true
+	}
+}
+
+func (r *listRecorder) has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen[id]
+}
+
+// runWatcher runs a Watcher until the end of the test.
+func runWatcher(t *testing.T, cfg Config) {
+	cfg.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
+	cfg.Count = func(string, error) {}
+	w := New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// panickingSource is a store whose first reads of the configuration and of the
+// upstreams panic.
+type panickingSource struct {
+	fakeSource
+	configs, lists atomic.Int32
+}
+
+func (s *panickingSource) Config(ctx context.Context, stale bool) (*routetable.Config, uint64, error) {
+	if s.configs.Add(1) <= 2 {
+		panic("malformed configuration")
+	}
+	return s.fakeSource.Config(ctx, stale)
+}
+
+func (s *panickingSource) Upstreams(ctx context.Context, stale bool) (*directory.Snapshot, error) {
+	if s.lists.Add(1) == 1 {
+		panic("malformed entry")
+	}
+	return s.fakeSource.Upstreams(ctx, stale)
+}
+
+// Guards against a value in the store that takes the whole process down, or ends
+// the reads of the store for good.
+func TestPanicOfTheSourceIsConfined(t *testing.T) {
+	source := &panickingSource{fakeSource: fakeSource{filled: true, upstream: directory.Upstream{ID: "a", Service: "s", Slots: 1}}}
+	sink := &recorder{}
+	var panics atomic.Int32
+	runWatcher(t, Config{Source: source, Sink: sink, Service: "s", OnPanic: func(any, []byte) { panics.Add(1) }})
+	assert.Eventually(t, sink.complete, 5*time.Second, 10*time.Millisecond)
+	assert.GreaterOrEqual(t, panics.Load(), int32(2))
+}
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -218,7 +218,7 @@
 		f.meta.Retry = q.parent.Retry
 	}
 	f.meta.Version = q.version
-	if err := f.readBody(q.exchange); err != nil {
+	if err := f.readBody(q.exchange, g.maxBody()); err != nil {
 		return nil, err
 	}
 	http1.StripHopByHop(header)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"sync"
@@ -97,6 +98,10 @@
 	upstreamDialTimeout = 1500 * time.Millisecond
 	// upstreamIdle applies if an upstream does not announce an idle timeout.
 	upstreamIdle = 4 * time.Second
+	// maxAnswerHead bounds the head of an upstream's answer. A head from a peer
+	// also holds the admission probabilities of all root routes.
+	maxAnswerHead = 32 << 10
+	maxReplyHead  = 256 << 10
 	// initialSlots is the concurrency limit until the store's entry of the local
 	// upstream is known.
 	initialSlots = 16
@@ -113,8 +118,8 @@
 		ledger:        dedup.New[*reply](),
 		limiter:       concurrency.New(initialSlots),
 		waiters:       map[*concurrency.Request]*waiter{},
-		peerPool:      http1.NewPool(http1.Timeouts{Dial: peerDialTimeout, Idle: peerIdle}),
-		upstreamPool:  http1.NewPool(http1.Timeouts{Dial: upstreamDialTimeout, Idle: upstreamIdle}),
+		peerPool:      http1.NewPool(http1.PoolConfig{Dial: peerDialTimeout, Idle: peerIdle, MaxHead: maxReplyHead}),
+		upstreamPool:  http1.NewPool(http1.PoolConfig{Dial: upstreamDialTimeout, Idle: upstreamIdle, MaxHead: maxAnswerHead}),
 		keys:          newKeySource(cfg.Host),
 		log:           newDecisionLog(cfg.Logger, cfg.Metrics.omitted.Inc),
 		startedAt:     time.Now(),
@@ -204,6 +209,15 @@
 	return defaultMaxBody
 }
 
+// OnPanic logs and counts a panic that was confined to a connection or a loop.
+func (g *Gateway) OnPanic(value any, stack []byte) {
+	g.cfg.Metrics.panics.Inc()
+	g.cfg.Logger.Error("panic", "value", fmt.Sprint(value), "stack", string(stack[:min(len(stack), maxLoggedStack)]))
+}
+
+// maxLoggedStack bounds the bytes of a stack in the log.
+const maxLoggedStack = 4 << 10
+
 // Close closes idle connections.
 func (g *Gateway) Close() {
 	g.peerPool.Close()
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -60,6 +60,19 @@
 		Deadline: f.deadline,
 		MaxWait:  time.Duration(f.meta.WaitMS) * time.Millisecond,
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			g.release(req, 0) // a panic must not keep the slot
+		}
+	}()
+	r := g.queueAndRun(ctx, f, req)
+	returned = true
+	return r
+}
+
+func (g *Gateway) queueAndRun(ctx context.Context, f *forward, req *concurrency.Request) *reply {
+	key := f.meta.Key
 	refusal := g.acquire(ctx, req)
 	waited := req.Waited(time.Now())
 	g.demand.OnQueued(f.meta.RootRoute, waited)
@@ -186,11 +199,21 @@
 			{Name: names.CallerService, Value: f.meta.Origin},
 		},
 		Body: f.body, Stream: f.stream, Length: f.length,
-		Accept: func(r *http.Response) bool {
-			// A refusal of the upstream may come without a request ID.
-			id := r.Header.Get(names.RequestID)
-			return id == f.requestID || id == "" && !success(r.StatusCode)
-		},
+		Match: func(r *http.Response) http1.Match { return matchAnswer(r, f.requestID, names.RequestID) },
+	}
+}
+
+// matchAnswer tells whether an answer belongs to the request with the given ID. A
+// refusal of an upstream may come without an ID, an answer may not.
+func matchAnswer(r *http.Response, requestID, header string) http1.Match {
+	id := r.Header.Get(header)
+	switch {
+	case id == requestID:
+		return http1.MatchOwn
+	case id == "" && !success(r.StatusCode):
+		return http1.MatchUnknown
+	default:
+		return http1.MatchOther
 	}
 }
 
@@ -202,6 +225,8 @@
 	}
 	reason := verdict.ConnectionLost
 	switch {
+	case errors.Is(err, http1.ErrMalformedResponse):
+		reason = verdict.IncompleteAnswer
 	case errors.Is(err, context.Canceled):
 		reason = verdict.Cancelled
 	case expired(ctx):
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -23,6 +23,7 @@
 	queueTime    prometheus.Histogram
 	upstreamTime prometheus.Histogram
 	omitted      prometheus.Counter
+	panics       prometheus.Counter
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -56,12 +57,16 @@
 			Help:    "Time that the local upstream needed for its answers.",
 			Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "toucangw_gateway_panics_total",
+			Help: "Panics that ended a request or a read of the store. Each is a fault of the program.",
+		}),
 		omitted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "toucangw_gateway_log_lines_omitted_total",
 			Help: "Decision log lines omitted because of the byte budget.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.version, m.storeCalls, m.queueTime, m.upstreamTime, m.omitted)
+	m.registry.MustRegister(m.requests, m.latency, m.version, m.storeCalls, m.queueTime, m.upstreamTime, m.omitted, m.panics)
 	m.initialise()
 	return m
 }
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -221,12 +222,12 @@
 	header.Del(forwardHeader)
 	header.Del(g.cfg.Headers.RequestID)
 	http1.StripHopByHop(header)
-	return f, f.readBody(x)
+	return f, f.readBody(x, g.maxBody())
 }
 
 // readBody buffers a body of up to maxBufferedBody bytes, so that it can be
 // sent again. The rest of a larger body is streamed.
-func (f *forward) readBody(x *http1.Exchange) error {
+func (f *forward) readBody(x *http1.Exchange, maxBody int64) error {
 	body, complete, err := x.ReadBody(maxBufferedBody)
 	if err != nil {
 		return err
@@ -236,11 +237,30 @@
 		f.length = int64(len(body))
 		return nil
 	}
-	f.stream = x.Stream()
+	f.stream = &boundedReader{r: x.Stream(), left: maxBody - int64(len(body))}
 	f.length = x.Request.ContentLength
 	return nil
 }
 
+// errBodyTooLarge ends a request whose body exceeds the limit of the
+// configuration.
+var errBodyTooLarge = errors.New("body exceeds the limit")
+
+// boundedReader reads a body without an announced length up to a limit.
+type boundedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return 0, errBodyTooLarge
+	}
+	return n, err
+}
+
 // maxBufferedBody is the largest request body that is buffered.
 const maxBufferedBody = 128 << 10
 
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -26,6 +26,9 @@
 	peerIdleTimeout = 2 * peerIdle
 	peerMaxHeader   = 16<<10 + 512
 	inFlightPoll    = 20 * time.Millisecond
+	// operatorWriteTimeout closes a connection whose client does not read the
+	// metrics.
+	operatorWriteTimeout = 10 * time.Second
 )
 
 // Server runs the listeners of a gateway.
@@ -46,12 +49,12 @@
 func NewServer(g *Gateway, s *settings.Gateway, logger *slog.Logger, readinessPath, metricsPath string) (*Server, error) {
 	srv := &Server{
 		gateway: g, settings: s, logger: logger, failed: make(chan error, 4),
-		clients: http1.NewServer(g.ServeClient, g.Limits),
-		peers: http1.NewServer(g.ServePeer, func() http1.Limits {
+		clients: http1.NewServer(http1.ServerConfig{Handler: g.ServeClient, Limits: g.Limits, OnPanic: g.OnPanic}),
+		peers: http1.NewServer(http1.ServerConfig{Handler: g.ServePeer, OnPanic: g.OnPanic, Limits: func() http1.Limits {
 			return http1.Limits{MaxHeader: peerMaxHeader, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: peerIdleTimeout}
-		}),
-		readiness: &http.Server{Handler: pathHandler(readinessPath, g.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout},
-		metrics:   &http.Server{Handler: pathHandler(metricsPath, g.cfg.Metrics.Handler().ServeHTTP), ReadHeaderTimeout: defaultHeaderTimeout},
+		}}),
+		readiness: operatorServer(pathHandler(readinessPath, g.serveReadiness)),
+		metrics:   operatorServer(pathHandler(metricsPath, g.cfg.Metrics.Handler().ServeHTTP)),
 	}
 	if err := srv.listen(); err != nil {
 		for _, l := range srv.listeners {
@@ -62,6 +65,14 @@
 	return srv, nil
 }
 
+// operatorServer returns a server for short requests without a body.
+func operatorServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, ReadTimeout: defaultHeaderTimeout,
+		WriteTimeout: operatorWriteTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeader,
+	}
+}
+
 func pathHandler(path string, h http.HandlerFunc) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, h)
--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -23,11 +24,26 @@
 	Body   []byte
 	Stream io.Reader
 	Length int64 // of Body and Stream together; -1 selects chunked encoding
-	// Accept reports whether a response belongs to this request; others are
-	// discarded. Nil accepts every response.
-	Accept func(*http.Response) bool
+	// Match tells whether a response belongs to this request. Nil matches every
+	// response.
+	Match func(*http.Response) Match
 }
 
+// Match tells whether a response belongs to a request.
+type Match int
+
+// Values of Match.
+const (
+	// MatchOwn is a response to the request.
+	MatchOwn Match = iota
+	// MatchOther is a late or repeated response to another request. It is
+	// discarded.
+	MatchOther
+	// MatchUnknown is a response that does not identify its request. It is
+	// accepted if the connection has carried no other request.
+	MatchUnknown
+)
+
 // Field is a header field.
 type Field struct{ Name, Value string }
 
@@ -68,7 +84,11 @@
 // before it has read the body.
 const asyncBodySize = 8 << 10
 
-var errUnmatched = errors.New("connection carried a response to another request")
+// errUnidentified ends a connection: the response may be a repeated one to an
+// earlier request, and must not be taken for a refusal of this one.
+var errUnidentified = fmt.Errorf("%w: it does not identify its request", ErrMalformedResponse)
+
+var errUnmatched = fmt.Errorf("%w: the connection carried responses to other requests", ErrMalformedResponse)
 
 // Do sends a request and returns the head of its response. The connection is
 // closed if ctx ends before the response is finished or closed.
@@ -114,36 +134,46 @@
 			return err
 		}
 	} else {
-		go func() { writeDone <- req.write(r.conn.bw) }()
+		go func() { writeDone <- req.writeStream(r.conn.bw) }()
 	}
-	for {
-		response, err := readResponse(r.conn.br, req.Method) //nolint:bodyclose // ends with its connection
+	discarded := int64(maxDiscarded)
+	for range maxUnmatched {
+		response, err := r.readHead(req.Method) //nolint:bodyclose // ends with its connection
 		if err != nil {
 			return err
 		}
-		if req.Accept == nil || req.Accept(response) {
+		switch match := req.match(response); {
+		case match == MatchUnknown && r.conn.reused:
+			return errUnidentified
+		case match != MatchOther:
 			r.response = response
 			r.Status, r.Header, r.Length = response.StatusCode, response.Header, response.ContentLength
 			return nil
 		}
-		// A late response to an earlier request.
 		r.unmatched = true
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return errUnmatched
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, discarded))
+		if err != nil {
 			return err
 		}
+		if discarded -= n; discarded <= 0 {
+			return errUnmatched
+		}
 	}
+	return errUnmatched
 }
 
-// readResponse reads the head of the next response and skips interim (1xx)
+// readHead reads the head of the next response and skips interim (1xx)
 // responses.
-func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+func (r *ClientResponse) readHead(method string) (*http.Response, error) {
+	r.conn.input.limit(r.pool.cfg.MaxHead)
+	defer r.conn.input.unlimit()
 	for {
-		response, err := http.ReadResponse(br, &http.Request{Method: method})
+		response, err := http.ReadResponse(r.conn.br, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, malformed(err)
 		}
 		if response.StatusCode >= 200 {
 			return response, nil
@@ -151,6 +181,34 @@
 	}
 }
 
+// malformed marks the errors of the parser, as opposed to those of the
+// connection, as ErrMalformedResponse.
+func malformed(err error) error {
+	var netErr net.Error
+	if connLost(err) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed) || errors.Is(err, ErrMalformedResponse) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrMalformedResponse, err)
+}
+
+func (r *Request) match(response *http.Response) Match {
+	if r.Match == nil {
+		return MatchOwn
+	}
+	return r.Match(response)
+}
+
+// writeStream is write on a goroutine of its own. A panic of the reader of the
+// body ends this request only.
+func (r *Request) writeStream(w *bufio.Writer) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = fmt.Errorf("panic while the body was read: %v", v)
+		}
+	}()
+	return r.write(w)
+}
+
 func (r *Request) write(w *bufio.Writer) error {
 	_, _ = w.WriteString(r.Method)
 	_, _ = w.WriteString(" ")
@@ -220,7 +278,7 @@
 	}
 	r.released = true
 	stopped := r.stopWatch()
-	maxIdle := allowedIdle(r.Header, r.pool.timeouts.Idle)
+	maxIdle := allowedIdle(r.Header, r.pool.cfg.Idle)
 	if !stopped || r.unmatched || r.response.Close || maxIdle <= 0 || !r.requestWritten() || r.conn.br.Buffered() > 0 {
 		_ = r.conn.nc.Close()
 		return
--- a/node/http1/pool.go
+++ b/node/http1/pool.go
@@ -11,20 +11,23 @@
 	"time"
 )
 
-// Timeouts are the timeouts of a Pool.
-type Timeouts struct {
+// PoolConfig configures a Pool.
+type PoolConfig struct {
 	// Dial is the maximum time to open a connection.
 	Dial time.Duration
 	// Idle is how long an idle connection is kept unless its server announces
 	// another timeout.
 	Idle time.Duration
+	// MaxHead bounds the bytes of a response head together with the interim
+	// responses before it.
+	MaxHead int
 }
 
 // Pool is a pool of client connections to any number of servers. It is safe for
 // concurrent use.
 type Pool struct {
-	timeouts Timeouts
-	bounds   idleBounds
+	cfg    PoolConfig
+	bounds idleBounds
 
 	mu        sync.Mutex
 	idle      map[string][]*clientConn // newest last
@@ -33,11 +36,12 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(t Timeouts) *Pool { return &Pool{timeouts: t, idle: map[string][]*clientConn{}} }
+func NewPool(cfg PoolConfig) *Pool { return &Pool{cfg: cfg, idle: map[string][]*clientConn{}} }
 
 // clientConn is a connection to a server. It carries one request at a time.
 type clientConn struct {
 	nc          net.Conn
+	input       *limitedReader // between nc and br
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	address     string
@@ -85,15 +89,16 @@
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*clientConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.timeouts.Dial)
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Dial)
 	defer cancel()
 	nc, err := Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	input := &limitedReader{r: nc}
 	return &clientConn{
-		nc: nc, address: address, maxIdle: p.timeouts.Idle,
-		br: bufio.NewReaderSize(nc, 4<<10), bw: bufio.NewWriterSize(nc, writeBufferSize),
+		nc: nc, input: input, address: address, maxIdle: p.cfg.Idle,
+		br: bufio.NewReaderSize(input, 4<<10), bw: bufio.NewWriterSize(nc, writeBufferSize),
 	}, nil
 }
 
--- a/node/http1/pool_test.go
+++ b/node/http1/pool_test.go
@@ -52,7 +52,7 @@
 // first loss, connections with such idle times are not reused.
 func TestPoolAvoidsLongIdleConnectionsAfterReset(t *testing.T) {
 	address := startIdleResetServer(t, 100*time.Millisecond)
-	p := NewPool(Timeouts{Dial: time.Second, Idle: time.Minute})
+	p := NewPool(PoolConfig{Dial: time.Second, Idle: time.Minute, MaxHead: testMaxHead})
 	t.Cleanup(p.Close)
 	failed := 0
 	for range 6 {
--- a/node/http1/serverconn.go
+++ b/node/http1/serverconn.go
@@ -63,28 +63,35 @@
 // serve reads requests until the client disconnects or the connection is closed.
 func (c *serverConn) serve() {
 	defer c.server.remove(c)
+	c.readRequests()
+	c.cancel()
+	c.handlers.Wait()
+	c.server.serving.Add(-1)
+	if c.closing.Load() {
+		c.linger()
+	}
+	_ = c.nc.Close()
+	c.br.Reset(nil)
+	bufferPool.Put(c.br)
+}
+
+// readRequests reads requests and starts their handlers until the connection
+// brings no more.
+func (c *serverConn) readRequests() {
+	defer c.server.recovered(c)
 	prevDone := closedChan
 	for {
 		x, err := c.read(prevDone)
 		if err != nil {
 			c.respondToReadError(err, prevDone)
-			break
+			return
 		}
 		prevDone = x.done
 		c.handle(x)
 		if !c.awaitBody(x) {
-			break
+			return
 		}
 	}
-	c.cancel()
-	c.handlers.Wait()
-	c.server.serving.Add(-1)
-	if c.closing.Load() {
-		c.linger()
-	}
-	_ = c.nc.Close()
-	c.br.Reset(nil)
-	bufferPool.Put(c.br)
 }
 
 var closedChan = func() chan struct{} {
@@ -100,7 +107,7 @@
 	if err := c.awaitRequest(); err != nil {
 		return nil, err
 	}
-	limits := c.server.limits()
+	limits := c.server.cfg.Limits()
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req, err := readHead(c.br, limits.MaxHeader)
 	if err != nil {
@@ -139,7 +146,7 @@
 			// are in flight.
 			_ = c.nc.SetReadDeadline(time.Now().Add(closeGrace))
 		} else {
-			_ = c.nc.SetReadDeadline(since.Add(c.server.limits().IdleTimeout))
+			_ = c.nc.SetReadDeadline(since.Add(c.server.cfg.Limits().IdleTimeout))
 		}
 		if c.closing.Load() {
 			return errConnClosing
@@ -152,7 +159,7 @@
 			since = time.Now()
 			continue
 		}
-		if c.server.isClosed() || time.Since(since) >= c.server.limits().IdleTimeout {
+		if c.server.isClosed() || time.Since(since) >= c.server.cfg.Limits().IdleTimeout {
 			return err
 		}
 	}
@@ -195,8 +202,9 @@
 	c.slots <- struct{}{}
 	c.handlers.Go(func() {
 		defer func() { <-c.slots }()
-		c.server.handler(x)
-		x.finish()
+		defer x.finish()
+		defer c.server.recovered(c)
+		c.server.cfg.Handler(x)
 	})
 }
 
--- a/node/peerlink/server.go
+++ b/node/peerlink/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -69,12 +72,36 @@
 			grpc.MaxSendMsgSize(MaxMessage),
 			grpc.ConnectionTimeout(connectTimeout*4),
 			grpc.NumStreamWorkers(streamWorkers),
+			grpc.UnaryInterceptor(recoverUnary),
+			grpc.StreamInterceptor(recoverStream),
 		),
 	}
 	peer.RegisterPeerServer(s.grpc, s)
 	return s
 }
 
+// recoverUnary confines a panic of a handler to its call, whose outcome is then
+// unknown to the caller.
+func recoverUnary(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (reply any, err error) {
+	defer func() { err = recovered(err, recover()) }()
+	return handler(ctx, req)
+}
+
+func recoverStream(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
+	defer func() { err = recovered(err, recover()) }()
+	return handler(srv, stream)
+}
+
+// recovered returns the status of a call whose handler panicked with the given
+// value, and err if the value is nil.
+func recovered(err error, value any) error {
+	if value == nil {
+		return err
+	}
+	slog.Error("panic in a call of a peer", "value", fmt.Sprint(value), "stack", string(debug.Stack()))
+	return status.Error(codes.Internal, "panic")
+}
+
 // Serve accepts connections until Stop.
 func (s *Server) Serve(lis net.Listener) error { return s.grpc.Serve(lis) }
 
