calltree: recognise calls of routes that few services call

Ruled out: sub-calls turned away by the limiter (9 of 2,745 refusals); too few samples of the called route (60 a second at each of the 21 upstreams).

Change: the origins of a route are compared with the shares of the services among the hosts, of all zones and of each, known from the directory at once. A route whose origins diverge from all of them is called. What one upstream has found holds for 15 s against others that have counted too little. A call whose parent is unknown is not shed at the root and ranks as a call.

Tests: TestRoutesOfFewOriginsAreCalled ("a second caller at times" fails with the earlier rule), TestOneOriginMayBeClients.

--- a/core/calltree/calltree_test.go
+++ b/core/calltree/calltree_test.go
@@ -1,6 +1,9 @@
 package calltree
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,13 +68,13 @@
 	var graph RouteGraph
 	const ms = time.Millisecond
 	for i := range 300 {
-		graph.Observe("called", 700*ms, i%10 == 0)
-		graph.Observe("called", time.Duration(300+i)*ms, i%20 != 0)
-		graph.Observe("clients", 800*ms, i%2 == 0)
-		graph.Observe("clients", time.Duration(300+i)*ms, i%3 == 0)
+		graph.Observe(atMillis(0), "called", 700*ms, i%10 == 0)
+		graph.Observe(atMillis(0), "called", time.Duration(300+i)*ms, i%20 != 0)
+		graph.Observe(atMillis(0), "clients", 800*ms, i%2 == 0)
+		graph.Observe(atMillis(0), "clients", time.Duration(300+i)*ms, i%3 == 0)
 	}
-	assert.True(t, graph.Observe("called", 700*ms, false))
-	assert.False(t, graph.Observe("clients", 800*ms, true))
+	assert.True(t, graph.Observe(atMillis(0), "called", 700*ms, false))
+	assert.False(t, graph.Observe(atMillis(0), "clients", 800*ms, true))
 }
 
 // Guards against attributing calls to requests of routes that make none, also
@@ -100,7 +103,7 @@
 	}
 	assert.InDelta(t, 7, manyRunning.ChanceMatches(atMillis(1050))["read"], 0.5, "one expires each millisecond")
 
-	assert.False(t, graph.Observe("feed", 700*time.Millisecond, false))
+	assert.False(t, graph.Observe(atMillis(0), "feed", 700*time.Millisecond, false))
 	assert.True(t, graph.LimitInherited("feed", 500*time.Millisecond))
 	assert.False(t, graph.LimitInherited("feed", 600*time.Millisecond), "limits of one route differ")
 
@@ -115,26 +118,80 @@
 }
 
 // Guards against missing a called route whose calls have differing time limits
-// of their own: they match no parent, but they all enter at one service, while
-// requests of clients enter at several.
-func TestSingleOriginRoutesAreCalled(t *testing.T) {
-	var o Origins
-	var graph RouteGraph
-	services := []string{"front", "middle", "deep"}
-	for i := range 300 {
-		graph.SetSingleOrigin("clients", o.Count("clients", services[i%3]))
-		for range 20 {
-			graph.SetSingleOrigin("called", o.Count("called", "middle"))
+// of their own: they match no parent, but they enter at few services, while
+// requests of clients enter at all. A refusal of such a call as that of a client
+// wastes the work of its tree.
+func TestRoutesOfFewOriginsAreCalled(t *testing.T) {
+	for name, tt := range map[string]struct {
+		hosts  map[string]int // by service
+		called map[string]int // requests of the called route by service of origin
+	}{
+		"one caller":               {map[string]int{"front": 3, "middle": 3, "deep": 3}, map[string]int{"middle": 9}},
+		"two callers":              {map[string]int{"front": 3, "middle": 3, "deep": 3, "end": 3}, map[string]int{"front": 5, "middle": 5}},
+		"a second caller at times": {map[string]int{"front": 90, "middle": 73, "deep": 21, "end": 10}, map[string]int{"middle": 93, "front": 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			var o Origins
+			o.SetClients([]map[string]float64{shares(tt.hosts)})
+			var graph RouteGraph
+			for range 400 {
+				graph.SetCallers(atMillis(0), "clients", o.Count("clients", draw(random, tt.hosts)))
+				graph.SetCallers(atMillis(0), "others", o.Count("others", draw(random, tt.hosts)))
+				graph.SetCallers(atMillis(0), "called", o.Count("called", draw(random, tt.called)))
+			}
+			assert.True(t, graph.IsCalled(atMillis(1), "called"))
+			assert.False(t, graph.IsCalled(atMillis(1), "clients"))
+			assert.False(t, graph.IsCalled(atMillis(1), "others"))
+			assert.True(t, graph.Observe(atMillis(1), "called", 650*time.Millisecond, false))
+			assert.False(t, graph.Observe(atMillis(1), "clients", 650*time.Millisecond, true))
+			// An upstream that has counted few requests changes nothing.
+			graph.SetCallers(atMillis(2), "called", CallersUnknown)
+			assert.True(t, graph.IsCalled(atMillis(3), "called"))
+			assert.False(t, graph.IsCalled(atMillis(0).Add(calledTTL), "called"))
+		})
+	}
+}
+
+// shares returns the shares of names with the given weights.
+func shares(weights map[string]int) map[string]float64 {
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	out := map[string]float64{}
+	for name, w := range weights {
+		out[name] = float64(w) / float64(total)
+	}
+	return out
+}
+
+// draw returns a name with a probability in proportion to its weight.
+func draw(random *rand.Rand, weights map[string]int) string {
+	names := slices.Sorted(maps.Keys(weights))
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	n := random.IntN(total)
+	for _, name := range names {
+		if n -= weights[name]; n < 0 {
+			return name
 		}
-		graph.Observe("called", time.Duration(580+i%120)*time.Millisecond, i%10 == 0)
-		graph.Observe("clients", time.Duration(580+i%120)*time.Millisecond, i%10 == 0)
 	}
-	assert.True(t, graph.Observe("called", 650*time.Millisecond, false))
-	assert.False(t, graph.Observe("clients", 650*time.Millisecond, true))
+	return ""
+}
 
-	var single Origins
+// Guards against client routes that count as called: where all hosts of a zone, or
+// all that are known, run one service, nothing distinguishes clients from callers.
+func TestOneOriginMayBeClients(t *testing.T) {
+	var none, single, zone Origins
+	single.SetClients([]map[string]float64{{"middle": 1}})
+	zone.SetClients([]map[string]float64{{"middle": 0.2, "front": 0.8}, {"middle": 1}, {"front": 1}})
 	for range 300 {
-		assert.False(t, single.Count("any", "middle"), "clients may enter at one service only")
+		assert.Equal(t, CallersUnknown, none.Count("any", "middle"))
+		assert.NotEqual(t, CallersUpstreams, single.Count("any", "middle"))
+		assert.NotEqual(t, CallersUpstreams, zone.Count("any", "middle"))
 	}
 }
 
--- a/core/calltree/routegraph.go
+++ b/core/calltree/routegraph.go
@@ -8,7 +8,7 @@
 // RouteGraph learns which routes are called by upstreams, and by requests of
 // which routes. Nearly all requests of a called route are deadline-matched,
 // while requests of clients match a running request only by chance. Requests of
-// a called route also enter at one service only, as Origins detects. The zero
+// a called route also enter at few services only, as Origins detects. The zero
 // value has learned nothing and is ready for use. It is safe for concurrent use.
 type RouteGraph struct {
 	mu     sync.Mutex
@@ -22,8 +22,10 @@
 	parents      map[string]float64 // share of the matches, by route of the parent
 	chance       map[string]float64 // expected share of the matches by chance alone, by route of the parent
 	matches      int
-	singleOrigin bool    // requests enter at one service alone, as found by Origins
 	expiryRate   float64 // share of the calls that expire with their parent
+	// calledUntil is the time until which the route counts as called because of
+	// its origins.
+	calledUntil time.Time
 }
 
 const (
@@ -55,6 +57,9 @@
 	// identify parents.
 	expiryWeight  = 0.02
 	minExpiryRate = 0.3
+	// calledTTL is how long a route counts as called after an upstream has found
+	// that it is.
+	calledTTL = 15 * time.Second
 	// limitSlack is the difference to the longest time limit up to which a
 	// limit counts as the sender's own.
 	limitSlack = 3 * time.Millisecond
@@ -108,20 +113,23 @@
 	return float64(limit) < inheritedLimitShare*float64(g.stats(route).longestLimit)
 }
 
-// SetSingleOrigin records whether the requests of a route enter at one service
-// alone, as found by Origins.
-func (g *RouteGraph) SetSingleOrigin(route string, single bool) {
+// SetCallers records who sends the requests of a route, as found by the Origins
+// of one upstream. Each upstream counts for itself, so that one which has found
+// callers prevails for calledTTL over those that have not.
+func (g *RouteGraph) SetCallers(now time.Time, route string, callers Callers) {
+	if callers != CallersUpstreams {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stats(route).singleOrigin = single
+	g.stats(route).calledUntil = now.Add(calledTTL)
 }
 
-// HasSingleOrigin reports whether the requests of a route enter at one service
-// alone, as found by Origins, so that this service calls the route.
-func (g *RouteGraph) HasSingleOrigin(route string) bool {
+// IsCalled reports whether upstreams call a route, as found by Origins.
+func (g *RouteGraph) IsCalled(now time.Time, route string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stats(route).singleOrigin
+	return now.Before(g.stats(route).calledUntil)
 }
 
 // Expired counts a call of a route whose parent is known from the order of
@@ -164,7 +172,7 @@
 // matches that of a running request. A request whose limit is within limitSlack
 // of the longest of its route does not count towards the match rate, since that
 // is the sender's own limit.
-func (g *RouteGraph) Observe(route string, limit time.Duration, matched bool) bool {
+func (g *RouteGraph) Observe(now time.Time, route string, limit time.Duration, matched bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.stats(route)
@@ -177,7 +185,7 @@
 		r.matchRate += matchWeight * (value - r.matchRate)
 		r.observed++
 	}
-	if r.singleOrigin {
+	if now.Before(r.calledUntil) {
 		return true
 	}
 	if r.observed < minRequests {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -98,6 +98,38 @@
 	return out
 }
 
+// ServiceShares returns the shares of the services in the upstreams: of all of them
+// first, and then of those in each availability zone.
+func (s *Snapshot) ServiceShares() []map[string]float64 {
+	all := map[string]float64{}
+	byZone := map[string]map[string]float64{}
+	inZone := map[string]float64{}
+	for _, u := range s.byID {
+		if byZone[u.Zone] == nil {
+			byZone[u.Zone] = map[string]float64{}
+		}
+		all[u.Service]++
+		byZone[u.Zone][u.Service]++
+		inZone[u.Zone]++
+	}
+	if len(s.byID) == 0 {
+		return nil
+	}
+	divide(all, float64(len(s.byID)))
+	out := []map[string]float64{all}
+	for zone, counts := range byZone {
+		divide(counts, inZone[zone])
+		out = append(out, counts)
+	}
+	return out
+}
+
+func divide(counts map[string]float64, total float64) {
+	for name := range counts {
+		counts[name] /= total
+	}
+}
+
 // Merge returns the view after a new read. While the store is unavailable,
 // entries of running upstreams expire: if keep is set, entries that are missing
 // from the read stay in the view.
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -31,6 +31,7 @@
 	version              uint64 // version of the configuration used
 	route                *routetable.Route
 	service              string
+	call                 bool             // made by the local upstream, also if its parent is unknown
 	parent               *calltree.Parent // nil for a root request
 	deadlineMatched      bool             // the parent was identified by its deadline
 	priority             int
@@ -120,7 +121,7 @@
 		return verdict.Refuse(verdict.BadRequest, "body is too large"), http.StatusRequestEntityTooLarge
 	}
 	g.classify(q)
-	if q.parent == nil {
+	if !q.call {
 		if refusal := g.admitRoot(q); refusal != nil {
 			return refusal, http.StatusServiceUnavailable
 		}
@@ -137,6 +138,7 @@
 	if err == nil && ms >= 0 {
 		remaining := time.Duration(ms) * time.Millisecond
 		q.parent = g.findParent(q, remaining)
+		q.call = q.parent != nil || g.routeGraph.IsCalled(q.exchange.Arrived, q.route.Name)
 		left = min(left, remaining)
 	}
 	q.deadline = q.exchange.Arrived.Add(left)
@@ -151,7 +153,7 @@
 	deadline := q.exchange.Arrived.Add(limit)
 	name := q.route.Name
 	match := g.callTree.Match(deadline, anyRoute)
-	if !g.routeGraph.Observe(name, limit, match != nil) {
+	if !g.routeGraph.Observe(q.exchange.Arrived, name, limit, match != nil) {
 		return nil
 	}
 	previous, _ := q.exchange.ConnValue().(*calltree.Parent)
@@ -191,7 +193,7 @@
 	if guess := g.callTree.Guess(q.exchange.Arrived, deadline, mayCall); guess != nil {
 		return guess
 	}
-	if g.routeGraph.HasSingleOrigin(name) {
+	if g.routeGraph.IsCalled(q.exchange.Arrived, name) {
 		return g.callTree.Any(mayCall)
 	}
 	return nil
@@ -210,7 +212,7 @@
 		method: q.exchange.Request.Method, target: q.exchange.Request.RequestURI, host: q.exchange.Request.Host,
 		header: header, requestID: q.id, deadline: q.deadline,
 		meta: forwardMeta{
-			Service: q.service, Origin: g.cfg.Service, Route: q.route.Name, RootRoute: q.rootRoute, Priority: q.priority, Call: q.parent != nil,
+			Service: q.service, Origin: g.cfg.Service, Route: q.route.Name, RootRoute: q.rootRoute, Priority: q.priority, Call: q.call,
 			AdmissionProbability: q.admissionProbability,
 		},
 	}
@@ -260,9 +262,7 @@
 	}
 	r := g.send(ctx, u, f)
 	g.balancer.OnDone(time.Now(), u.ID, resultOf(q, r))
-	if r.meta.Limit > 0 {
-		g.routeGraph.SetSingleOrigin(q.route.Name, r.meta.SingleOrigin)
-	}
+	g.routeGraph.SetCallers(time.Now(), q.route.Name, r.meta.Callers)
 	if r.meta.ReachedUpstream || r.answer != nil || r.meta.verdict() != verdict.NotRun {
 		q.attempts++
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -144,7 +144,10 @@
 }
 
 // SetHosts replaces the list of upstreams.
-func (g *Gateway) SetHosts(s *directory.Snapshot) { g.hosts.Store(s) }
+func (g *Gateway) SetHosts(s *directory.Snapshot) {
+	g.hosts.Store(s)
+	g.origins.SetClients(s.ServiceShares())
+}
 
 // SetLocalUpstream replaces the state of the local upstream.
 func (g *Gateway) SetLocalUpstream(s directory.LocalUpstream) {
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -32,9 +32,9 @@
 // serveLocal runs a request at the local upstream as soon as a slot is free. It
 // adds the load of the upstream and the admission probabilities to the reply.
 func (g *Gateway) serveLocal(ctx context.Context, f *forward) *reply {
-	singleOrigin := g.origins.Count(f.meta.Route, f.meta.Origin)
+	callers := g.origins.Count(f.meta.Route, f.meta.Origin)
 	r := g.admitAndRun(ctx, f)
-	r.meta.SingleOrigin = singleOrigin
+	r.meta.Callers = callers
 	load := g.load()
 	r.meta.Running, r.meta.Queued, r.meta.Limit = load.Running, load.Queued, load.Limit
 	if c := g.routes.Load(); c != nil {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"toucangw.example/core/balance"
+	"toucangw.example/core/calltree"
 	"toucangw.example/core/verdict"
 	"toucangw.example/node/http1"
 )
@@ -94,8 +95,8 @@
 	Queued    int    `json:"q,omitempty"`
 	Limit     int    `json:"l,omitempty"`
 	Version   uint64 `json:"c,omitempty"` // version of the replying node's active configuration
-	// SingleOrigin is set if only the sender's service calls the route.
-	SingleOrigin bool `json:"o,omitempty"`
+	// Callers tells who sends the requests of the route.
+	Callers calltree.Callers `json:"e,omitempty"`
 	// Probabilities holds the admission probabilities of routes that the
 	// replying node advertises, those received from other services included.
 	Probabilities []probabilityMeta `json:"h,omitempty"`
