discovery: few nodes of a large zone read the store for the others

The watch of the local entry asked again from a revision older than the store's history, got 410 and read the entry: two calls each 15 s.

Change: in an availability zone of more than 8 ready hosts, three of them (one more for 64 hosts), chosen by a hash of their addresses, read the store. The others follow two of them at once, each with a request that waits for news for up to 0.6 s and says how old the reader's read is. A node reads the store itself as long as it has no view younger than 2 s or no answer for 1.2 s, and a reader whose own reads fail follows the others. Versions and revisions never go back. Reads of an empty store slow down from 10 to 2.5 a second. The watch of the local entry lasts 28 s and goes on from the newest revision; a read of all entries now also shows that the local upstream leaves.

Zones of up to 8 hosts work as before.

Tests: TestReadersServeTheirZone (40 nodes: calls bounded by the readers; a change is everywhere within configuration-apply while all readers but one are cut off from the store, while no reader answers, after an outage), TestReadersAreSpread, TestListShowsThatTheLocalUpstreamLeaves.

At 21,000 hosts the watches of the local entries remain: 750 calls a second.

--- a/cmd/internal/nodecmd/gateway.go
+++ b/cmd/internal/nodecmd/gateway.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"syscall"
+	"time"
 
 	"toucangw.example/core/retrybudget"
 	"toucangw.example/node/discovery"
@@ -60,11 +61,13 @@
 	logger := logs.Logger.With("node", s.Host.ID)
 	var watcher *discovery.Watcher
 	cfg := gatewayConfig(s, logger)
+	cfg.ListAge = func() time.Duration { return watcher.Age() }
 	cfg.OnNewer = func(version uint64, peer string) { watcher.NotifyNewer(version, peer) }
 	g := gateway.New(cfg)
 	watcher = discovery.New(discovery.Config{
 		Source: platform.NewStore(s.Store.String(), logger), Sink: g, Logger: logger,
 		Service: s.Host.Service, Address: s.Upstream, Count: g.StoreCall, FromPeer: g.View, OnPanic: g.OnPanic,
+		Zone: s.Host.Zone, Follow: g.Follow,
 	})
 	srv, err := gateway.NewServer(g, s, logger, platform.ReadinessPath, platform.MetricsPath)
 	if err != nil {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -42,6 +43,9 @@
 	Revision  uint64
 	byID      map[string]*Upstream
 	byService map[string][]*Upstream
+
+	fingerprintOnce sync.Once
+	fingerprint     uint64
 }
 
 // NewSnapshot indexes the entries. Of several entries with one address, the one
--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -33,12 +33,12 @@
 		case err == nil:
 			wait.reset()
 			after = change.Revision
-			w.updateLocal(id, change)
+			w.updateLocal(id, change, false)
 		case errors.Is(err, ErrHistoryGone):
 			after = 0
 		case errors.Is(err, ErrNotFound):
 			after = 0
-			w.updateLocal(id, Change{Removed: true})
+			w.updateLocal(id, Change{Removed: true}, false)
 			pause(ctx, initialPoll)
 		default:
 			after = 0
@@ -84,16 +84,28 @@
 		change, err = w.cfg.Source.WatchUpstream(ctx, id, after, localWatchTime)
 		return err
 	})
-	if err == nil && change.Upstream == nil && !change.Removed {
-		// Keep the revision, so that changes made while the watch received no
-		// events are not skipped.
-		change.Revision = after
-	}
 	return change, err
 }
 
-// updateLocal passes the state of the local upstream to the Sink.
-func (w *Watcher) updateLocal(id string, change Change) {
+// localChange returns the change of the local upstream's entry that a read of all
+// entries shows and the watch has not, because it heard nothing for a while. Only
+// what such a read has shown is taken back by a later one. w.mu must be held.
+func (w *Watcher) localChange(read *directory.Snapshot) (id string, change *Change) {
+	id = w.local.ID
+	if id == "" || read.Revision <= w.localRevision {
+		return "", nil
+	}
+	u := read.Get(id)
+	leaving := u == nil || u.State == directory.Draining
+	if leaving == w.local.Draining || !leaving && !w.leavingByList {
+		return "", nil
+	}
+	return id, &Change{Upstream: u, Removed: u == nil, Revision: read.Revision}
+}
+
+// updateLocal passes the state of the local upstream to the Sink. ByList is set if
+// a read of all entries has shown the change.
+func (w *Watcher) updateLocal(id string, change Change, byList bool) {
 	if change.Upstream == nil && !change.Removed {
 		return
 	}
@@ -117,6 +129,8 @@
 		local.PreviousIDs[p] = true
 	}
 	w.local = local
+	w.localRevision = max(w.localRevision, change.Revision)
+	w.leavingByList = byList && local.Draining
 	w.mu.Unlock()
 	if changed {
 		w.cfg.Logger.Info("local upstream", "upstream", id, "leaving", local.Draining, "gone", change.Removed, "slots", local.Slots,
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -24,7 +24,7 @@
 	// or broken.
 	configPoll = time.Second
 	// localWatchTime is the duration of one watch of the local upstream's entry.
-	localWatchTime = 15 * time.Second
+	localWatchTime = 28 * time.Second
 	// listPoll is the interval at which all entries are read.
 	listPoll = 900 * time.Millisecond
 	// initialPoll is the interval of reads until the first one returns data.
@@ -36,6 +36,8 @@
 	// staleFallback is the time after the start in which only linearizable reads
 	// are used until one succeeds.
 	staleFallback = 2 * time.Second
+	// maxInitialPoll bounds the interval of reads of a store without data.
+	maxInitialPoll = 400 * time.Millisecond
 	// firstBackoff and maxBackoff bound the delay after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -56,6 +58,11 @@
 	Logger  *slog.Logger
 	// Count is called after each call to the store, with its name and result.
 	Count func(call string, err error)
+	// Zone is the availability zone of this node. Follow asks another node for its
+	// view, which it returns once it is newer than what is known, or after wait. If
+	// Follow is nil, each node reads the store itself.
+	Zone   string
+	Follow func(ctx context.Context, reader *directory.Upstream, known Known, wait time.Duration) (View, error)
 	// OnPanic is called with the value and the stack of a panic in a loop of the
 	// Watcher, which then starts again.
 	OnPanic func(value any, stack []byte)
@@ -75,14 +82,19 @@
 type Watcher struct {
 	cfg Config
 
-	mu          sync.Mutex
-	list        *directory.Snapshot
-	local       directory.LocalUpstream
-	previousIDs map[string]bool
-	lastRead    time.Time // time of the last successful read of the list
-	recovered   time.Time // end of the last outage of the store
-	reachable   bool
-	version     uint64
+	mu    sync.Mutex
+	list  *directory.Snapshot
+	read  *directory.Snapshot // the newest read, without entries kept from before an outage
+	local directory.LocalUpstream
+	// localRevision is the revision of the store of the last change of local.
+	localRevision uint64
+	leavingByList bool // a read of all entries has shown that local leaves
+	previousIDs   map[string]bool
+	lastRead      time.Time // time of the read of the store from which the list is
+	followedAt    time.Time // time at which a reader last returned a current view
+	recovered     time.Time // end of the last outage of the store
+	reachable     bool
+	version       uint64
 
 	newLocalID chan string // new ID of the local upstream
 	newer      chan newerVersion
@@ -96,7 +108,11 @@
 // Run reads the store until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){w.watchConfig, w.pollConfig, w.fetchNewer, w.pollList, w.watchLocal} {
+	tasks := []func(context.Context){w.watchConfig, w.pollConfig, w.fetchNewer, w.pollList, w.watchLocal}
+	for range followers {
+		tasks = append(tasks, w.follow)
+	}
+	for _, loop := range tasks {
 		loops.Go(func() {
 			for ctx.Err() == nil && w.panics(ctx, loop) {
 				pause(ctx, maxBackoff)
@@ -173,6 +189,19 @@
 
 func (b *backoff) reset() { *b = 0 }
 
+// growingPause is the delay between reads of a store that holds nothing yet. It
+// grows from initialPoll to maxInitialPoll, so that a store that is filled late is
+// not read too often.
+type growingPause time.Duration
+
+func initialBackoff() growingPause { return growingPause(initialPoll) }
+
+func (p *growingPause) next() time.Duration {
+	d := time.Duration(*p)
+	*p = growingPause(min(d*5/4, maxInitialPoll))
+	return d
+}
+
 // activate activates a configuration if it is newer than the active one.
 func (w *Watcher) activate(c *routetable.Config, from string) {
 	w.mu.Lock()
@@ -193,11 +222,21 @@
 func (w *Watcher) watchConfig(ctx context.Context) {
 	var after uint64
 	var wait backoff
+	first := true
 	for ctx.Err() == nil {
+		if w.following() {
+			w.awaitReading(ctx)
+			after = 0 // versions may have been published meanwhile
+			continue
+		}
 		err := w.readConfig(ctx, &after)
 		switch {
 		case err == nil:
 			wait.reset()
+			if first {
+				w.awaitFollowing(ctx)
+			}
+			first = false
 		case errors.Is(err, ErrNotFound):
 			after = 0
 			w.awaitConfig(ctx)
@@ -211,8 +250,9 @@
 // awaitConfig makes stale reads until one returns a configuration or the next
 // linearizable read is due.
 func (w *Watcher) awaitConfig(ctx context.Context) {
+	idle := initialBackoff()
 	for range linearizableEvery - 1 {
-		if !pause(ctx, initialPoll) {
+		if !pause(ctx, idle.next()) {
 			return
 		}
 		err := w.call(ctx, "config-stale", callTimeout, func(ctx context.Context) error {
@@ -266,6 +306,9 @@
 func (w *Watcher) pollConfig(ctx context.Context) {
 	lastLinearizable := time.Now()
 	for pause(ctx, configPoll) {
+		if w.following() {
+			continue
+		}
 		stale := time.Since(lastLinearizable) < w.linearizableInterval()
 		name := "config-stale"
 		if !stale {
@@ -294,7 +337,7 @@
 	if w.list == nil {
 		return configPoll
 	}
-	return time.Duration(w.list.Len()) * time.Second / clusterReadsPerSecond
+	return time.Duration(w.list.ReaderCount()) * time.Second / clusterReadsPerSecond
 }
 
 // NotifyNewer reports the version of the configuration that another node has.
@@ -355,7 +398,7 @@
 		if c, err = w.cfg.Source.Decode(document); err == nil {
 			w.activate(c, "node "+peer)
 			if w.listUnknown() {
-				w.updateList(hosts, "node "+peer)
+				w.updateList(hosts, "node "+peer, time.Now())
 			}
 			return true
 		}
@@ -367,9 +410,12 @@
 // pollList keeps the list of all upstreams up to date.
 func (w *Watcher) pollList(ctx context.Context) {
 	interval := initialPoll
+	idle := initialBackoff()
 	stale, empty := false, false
 	started := time.Now()
 	for reads := 1; ctx.Err() == nil; reads++ {
+		w.awaitReading(ctx)
+		readAt := time.Now()
 		var read *directory.Snapshot
 		err := w.call(ctx, "upstreams", callTimeout, func(ctx context.Context) error {
 			var err error
@@ -377,7 +423,7 @@
 			return err
 		})
 		if err == nil && read.Len() > 0 {
-			w.updateList(read, "store")
+			w.updateList(read, "store", readAt)
 			interval = listPoll
 		}
 		empty = empty || err == nil && read.Len() == 0
@@ -385,18 +431,24 @@
 		// old read might return upstreams that left before this process started.
 		mayBeStale := empty || time.Since(started) > staleFallback
 		stale = interval == listPoll || mayBeStale && reads%linearizableEvery != 0
+		if empty && interval == initialPoll {
+			pause(ctx, idle.next())
+			continue
+		}
 		pause(ctx, interval)
 	}
 }
 
-// updateList merges a read into the list of upstreams.
-func (w *Watcher) updateList(read *directory.Snapshot, source string) {
+// updateList merges a read of the store into the list of upstreams.
+func (w *Watcher) updateList(read *directory.Snapshot, source string, readAt time.Time) {
 	now := time.Now()
 	w.mu.Lock()
 	if !w.lastRead.IsZero() && now.Sub(w.lastRead) > outageThreshold {
 		w.recovered = now
 	}
-	w.lastRead = now
+	if readAt.After(w.lastRead) {
+		w.lastRead = readAt
+	}
 	if w.list != nil && read.Revision < w.list.Revision {
 		w.mu.Unlock()
 		return // a stale read returned an older revision
@@ -404,10 +456,15 @@
 	keep := !w.recovered.IsZero() && now.Sub(w.recovered) < reregisterTime
 	w.logChanges(w.list, read, source)
 	w.list = directory.Merge(w.list, read, keep)
+	w.read = read
 	list := w.list
 	local := w.findLocal(list)
+	id, change := w.localChange(read)
 	w.mu.Unlock()
 	w.cfg.Sink.SetHosts(list)
+	if change != nil {
+		w.updateLocal(id, *change, true)
+	}
 	if local != nil {
 		select {
 		case w.newLocalID <- local.ID:
--- a/node/discovery/watcher_test.go
+++ b/node/discovery/watcher_test.go
@@ -149,7 +149,7 @@
 		failUntil:  time.Now().Add(500 * time.Millisecond), left: entry("left"),
 	}
 	sink := &listRecorder{seen: map[string]bool{}}
-	runWatcher(t, Config{Source: source, Sink: sink, Service: "s", Address: address})
+	runWatcher(t, newWatcher(Config{Source: source, Sink: sink, Service: "s", Address: address}))
 	assert.Eventually(t, func() bool { return sink.has("present") }, 3*time.Second, 10*time.Millisecond)
 	assert.False(t, sink.has("left"))
 }
@@ -175,11 +175,15 @@
 	return r.seen[id]
 }
 
-// runWatcher runs a Watcher until the end of the test.
-func runWatcher(t *testing.T, cfg Config) {
+// newWatcher returns a Watcher that logs and counts nothing.
+func newWatcher(cfg Config) *Watcher {
 	cfg.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
 	cfg.Count = func(string, error) {}
-	w := New(cfg)
+	return New(cfg)
+}
+
+// runWatcher runs a Watcher until the end of the test.
+func runWatcher(t *testing.T, w *Watcher) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -219,7 +223,7 @@
 	source := &panickingSource{fakeSource: fakeSource{filled: true, upstream: directory.Upstream{ID: "a", Service: "s", Slots: 1}}}
 	sink := &recorder{}
 	var panics atomic.Int32
-	runWatcher(t, Config{Source: source, Sink: sink, Service: "s", OnPanic: func(any, []byte) { panics.Add(1) }})
+	runWatcher(t, newWatcher(Config{Source: source, Sink: sink, Service: "s", OnPanic: func(any, []byte) { panics.Add(1) }}))
 	assert.Eventually(t, sink.complete, 5*time.Second, 10*time.Millisecond)
 	assert.GreaterOrEqual(t, panics.Load(), int32(2))
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -55,6 +55,9 @@
 	// OnNewer is called when another node has a newer configuration. It must
 	// not block.
 	OnNewer func(version uint64, peer string)
+	// ListAge returns the time since the store was read for the list of
+	// upstreams. If it is nil, other nodes take each list as just read.
+	ListAge func() time.Duration
 }
 
 // Gateway is the data path of one node. It is safe for concurrent use.
@@ -66,6 +69,7 @@
 	localUpstream  atomic.Pointer[directory.LocalUpstream]
 	draining       atomic.Bool // makes Ready report false
 	upstreamClosed atomic.Bool // rejects new requests for the local upstream
+	viewChanged    changeSignal
 
 	balancer       *balance.Balancer
 	budget         *retrybudget.Limiter
@@ -138,6 +142,7 @@
 		}
 		if g.routes.CompareAndSwap(old, c) {
 			g.cfg.Metrics.version.Set(float64(c.Version))
+			g.viewChanged.notify()
 			return
 		}
 	}
@@ -145,7 +150,10 @@
 
 // SetHosts replaces the list of upstreams.
 func (g *Gateway) SetHosts(s *directory.Snapshot) {
-	g.hosts.Store(s)
+	old := g.hosts.Swap(s)
+	if old == nil || old.Fingerprint() != s.Fingerprint() {
+		g.viewChanged.notify()
+	}
 	g.origins.SetClients(s.ServiceShares())
 }
 
@@ -169,7 +177,10 @@
 }
 
 // Drain makes Ready report false. Requests are still served.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+	g.viewChanged.notify()
+}
 
 // CloseUpstream rejects new requests for the local upstream. Requests in flight
 // are finished, and requests of local clients are still served.
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -58,11 +58,15 @@
 	AdmissionProbability float64 `json:"f,omitempty"`
 	Retry                bool    `json:"t,omitempty"` // a retry, or a call made by one
 	LeftMS               int64   `json:"l"`           // time left, milliseconds
-	WaitMS               int64   `json:"w,omitempty"` // longest time in the queue, milliseconds
+	WaitMS               int64   `json:"w,omitempty"` // longest time in the queue, or for which a view may be awaited, milliseconds
 	Key                  string  `json:"k,omitempty"` // idempotency key; set for an at-most-once request
 	Version              uint64  `json:"v,omitempty"` // version of the sender's active configuration
 	// Sender is the address of the sending node's peer listener.
 	Sender string `json:"h,omitempty"`
+	// Revision and Fingerprint are set in a request for a view: those of the
+	// sender's list of upstreams.
+	Revision    uint64 `json:"m,omitempty"`
+	Fingerprint uint64 `json:"g,omitempty"`
 	// AgeMS is set in a query of an outcome: the time since the request was
 	// sent, milliseconds.
 	AgeMS int64 `json:"a,omitempty"`
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -195,7 +195,7 @@
 		return
 	}
 	if x.Request.RequestURI == viewPath && meta.Service == "" {
-		g.respondView(x)
+		g.respondView(x, &meta)
 		return
 	}
 	g.compareVersion(meta.Version, meta.Sender)
@@ -316,51 +316,3 @@
 		g.cfg.OnNewer(version, peer)
 	}
 }
-
-// PeerView is the response to a node that lacks the configuration or the
-// upstreams.
-type PeerView struct {
-	// Document is the active configuration.
-	Document []byte `json:"document"`
-	// Revision is the revision of the store at which the upstreams were read.
-	Revision  uint64               `json:"revision"`
-	Upstreams []directory.Upstream `json:"upstreams"`
-}
-
-// respondView sends the configuration and the upstreams to another node.
-func (g *Gateway) respondView(x *http1.Exchange) {
-	c, hosts := g.routes.Load(), g.hosts.Load()
-	if c == nil || hosts == nil {
-		_ = x.Respond(http1.NewServerResponse(http.StatusNotFound, nil, nil))
-		return
-	}
-	view := PeerView{Document: c.Document, Revision: hosts.Revision}
-	for _, u := range hosts.All() {
-		view.Upstreams = append(view.Upstreams, *u)
-	}
-	_ = x.Respond(http1.NewServerResponse(http.StatusOK, nil, []byte(encode(&view))))
-}
-
-// View fetches the configuration document and the upstreams of another node.
-func (g *Gateway) View(ctx context.Context, peer string) ([]byte, *directory.Snapshot, error) {
-	response, err := g.peerPool.Do(ctx, peer, &http1.Request{
-		Method: http.MethodGet, Target: viewPath, Host: peer,
-		Extra: []http1.Field{{Name: forwardHeader, Value: encode(&forwardMeta{})}},
-	})
-	if err != nil {
-		return nil, nil, err
-	}
-	body, complete, err := response.ReadBody(maxViewSize)
-	if err != nil {
-		return nil, nil, err
-	}
-	if !complete || response.Status != http.StatusOK {
-		response.Close()
-		return nil, nil, fmt.Errorf("status %d, %d bytes", response.Status, len(body))
-	}
-	var view PeerView
-	if err := json.Unmarshal(body, &view); err != nil {
-		return nil, nil, fmt.Errorf("view of a node: %w", err)
-	}
-	return view.Document, directory.NewSnapshot(view.Revision, view.Upstreams), nil
-}
