--- a/standin/site/soak_test.go
+++ b/standin/site/soak_test.go
@@ -25,6 +25,7 @@
 	soakSeed    = flag.Uint64("soak.seed", 0, "seed of the first run; 0 for the regression seeds")
 	soakRuns    = flag.Int("soak.runs", 1, "runs with consecutive seeds from soak.seed")
 	soakSeconds = flag.Int("soak.seconds", 5, "length of the faults of one run")
+	soakHosts   = flag.Int("soak.hosts", smallService, "hosts of each of the two services")
 )
 
 // regressionSeeds are run in CI. Each seed that has ever failed is kept here with its
@@ -43,6 +44,9 @@
 // or remain without a response.
 func TestSoak(t *testing.T) {
 	daemon := build(t)
+	if *soakSeed == 0 {
+		t.Run("readers", func(t *testing.T) { soak(t, daemon, readersSeed, largeService) })
+	}
 	seeds := regressionSeeds
 	if *soakSeed != 0 {
 		seeds = nil
@@ -51,7 +55,7 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, daemon, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, daemon, seed, *soakHosts) })
 	}
 }
 
@@ -75,15 +79,15 @@
 	publishedAt time.Time // when the newest version was published
 }
 
-func soak(t *testing.T, daemon string, seed uint64) {
+func soak(t *testing.T, daemon string, seed uint64, hosts int) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	dir := t.TempDir()
 	s, err := Start(ctx, Config{
 		Daemon: daemon, Template: "../../deploy/node.toml", Dir: dir, Block: os.Getpid() % 250, Grace: grace,
 		Services: []Service{
-			{Name: "front", Hosts: 3, Slots: 16, ServiceTime: 10 * time.Millisecond, Calls: "/deep/call"},
-			{Name: "deep", Hosts: 3, Slots: 16, ServiceTime: 10 * time.Millisecond},
+			{Name: "front", Hosts: hosts, Slots: 16, ServiceTime: 10 * time.Millisecond, Calls: "/deep/call"},
+			{Name: "deep", Hosts: hosts, Slots: 16, ServiceTime: 10 * time.Millisecond},
 		},
 	})
 	require.NoError(t, err)
@@ -116,6 +120,15 @@
 	c.checkRuns()
 }
 
+const (
+	// smallService is a number of hosts with which each node reads the store,
+	// largeService one with which few nodes of each zone do.
+	smallService = 3
+	largeService = 10
+	// readersSeed is the seed of the run with readers.
+	readersSeed = 2
+)
+
 // grace is the longest time that a planned stop may take, as on the platform.
 // It covers the time for which a node announces its stop and the longest request.
 const grace = 6 * time.Second
