--- a/cmd/internal/nodecmd/gateway.go
+++ b/cmd/internal/nodecmd/gateway.go
@@ -62,6 +62,7 @@
 	var watcher *discovery.Watcher
 	cfg := gatewayConfig(s, logger)
 	cfg.ListAge = func() time.Duration { return watcher.Age() }
+	cfg.ReadsStore = func() bool { return watcher.ReadsStore() }
 	cfg.OnNewer = func(version uint64, peer string) { watcher.NotifyNewer(version, peer) }
 	g := gateway.New(cfg)
 	watcher = discovery.New(discovery.Config{
--- a/cmd/toucangwctl/status.go
+++ b/cmd/toucangwctl/status.go
@@ -47,10 +47,14 @@
 type nodeStatus struct {
 	ConfigVersion uint64 `json:"config_version"` // 0: none
 	Upstreams     int    `json:"upstreams"`
-	Running       int    `json:"running"`
-	Queued        int    `json:"queued"`
-	Slots         int    `json:"slots"`
-	InFlight      int    `json:"in_flight"`
+	// UpstreamsAgeSeconds is the time since the store was read for the upstreams.
+	UpstreamsAgeSeconds float64 `json:"upstreams_age_seconds"`
+	// ReadsStore is false if the node follows nodes that read the store.
+	ReadsStore bool `json:"reads_store"`
+	Running    int  `json:"running"`
+	Queued     int  `json:"queued"`
+	Slots      int  `json:"slots"`
+	InFlight   int  `json:"in_flight"`
 	// Requests counts requests since the start by status and, for refusals,
 	// reason.
 	Requests map[string]uint64 `json:"requests"`
@@ -61,6 +65,14 @@
 	LogLinesOmitted uint64 `json:"log_lines_omitted"`
 }
 
+// reader names the node that reads the store.
+func (s *nodeStatus) reader() string {
+	if s.ReadsStore {
+		return "this node"
+	}
+	return "readers of its zone"
+}
+
 // Execute implements flags.Commander.
 func (c *statusCommand) Execute([]string) error {
 	resp, err := request(http.MethodGet, "http://"+c.Node+"/metrics", nil, nil)
@@ -94,15 +106,17 @@
 	if families[prefix+"config_version"] == nil {
 		return nil, errors.New("these are not the metrics of a node in gateway mode")
 	}
-	gauge := func(name string) int {
+	value := func(name string) float64 {
 		for _, m := range families[prefix+name].GetMetric() {
-			return int(m.GetGauge().GetValue())
+			return m.GetGauge().GetValue()
 		}
 		return 0
 	}
+	gauge := func(name string) int { return int(value(name)) }
 	s := &nodeStatus{
 		ConfigVersion: uint64(max(gauge("config_version"), 0)), Upstreams: gauge("upstreams"),
 		Running: gauge("running"), Queued: gauge("queued"), Slots: gauge("slots"), InFlight: gauge("in_flight"),
+		ReadsStore: gauge("store_reader") == 1, UpstreamsAgeSeconds: value("upstreams_age_seconds"),
 		Requests:   counters(families[prefix+"requests_total"], "status", "reason"),
 		StoreCalls: counters(families[prefix+"store_calls_total"], "call", "outcome"),
 	}
@@ -140,6 +154,7 @@
 	t := tabwriter.NewWriter(c.env.out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "configuration\tversion %d\n", s.ConfigVersion)
 	_, _ = fmt.Fprintf(t, "upstreams known\t%d\n", s.Upstreams)
+	_, _ = fmt.Fprintf(t, "read from the store\t%.1f s ago, by %s\n", s.UpstreamsAgeSeconds, s.reader())
 	_, _ = fmt.Fprintf(t, "own upstream\t%d running, %d queued, %d slots\n", s.Running, s.Queued, s.Slots)
 	_, _ = fmt.Fprintf(t, "in flight\t%d\n", s.InFlight)
 	for _, k := range slices.Sorted(maps.Keys(s.Requests)) {
--- a/cmd/toucangwctl/status_test.go
+++ b/cmd/toucangwctl/status_test.go
@@ -36,6 +36,7 @@
 		require.Contains(t, got.out, text)
 	}
 	require.Regexp(t, `upstreams known +2\n`, got.out)
+	require.Regexp(t, `read from the store +0\.0 s ago, by this node\n`, got.out)
 	got = runTool("status", "--json", "--node", address)
 	require.Equal(t, exitOK, got.code, got.err)
 	require.Contains(t, got.out, `"config_version": 12`)
--- a/node/discovery/follow.go
+++ b/node/discovery/follow.go
@@ -90,6 +90,9 @@
 	return now.Sub(w.followedAt) < 2*followWait && now.Sub(w.lastRead) < maxViewAge
 }
 
+// ReadsStore reports whether this node reads the store itself.
+func (w *Watcher) ReadsStore() bool { return !w.following() }
+
 // awaitReading waits while this node follows readers. It returns at once if it
 // reads the store itself.
 func (w *Watcher) awaitReading(ctx context.Context) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// ListAge returns the time since the store was read for the list of
 	// upstreams. If it is nil, other nodes take each list as just read.
 	ListAge func() time.Duration
+	// ReadsStore reports whether this node reads the store itself. If it is nil,
+	// the node always does.
+	ReadsStore func() bool
 }
 
 // Gateway is the data path of one node. It is safe for concurrent use.
@@ -250,6 +253,16 @@
 	return len(hosts.Service(service))
 }
 
+// listAge returns the time since the store was read for the list of upstreams.
+func (g *Gateway) listAge() time.Duration {
+	if g.cfg.ListAge == nil {
+		return 0
+	}
+	return g.cfg.ListAge()
+}
+
+func (g *Gateway) readsStore() bool { return g.cfg.ReadsStore == nil || g.cfg.ReadsStore() }
+
 // upstreamCount returns the number of known upstreams.
 func (g *Gateway) upstreamCount() int {
 	hosts := g.hosts.Load()
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -89,19 +89,27 @@
 func (m *Metrics) registerGauges(g *Gateway) {
 	for _, v := range []struct {
 		name, help string
-		value      func() int
+		value      func() float64
 	}{
-		{"toucangw_gateway_running", "Requests at the local upstream.", func() int { return g.load().Running }},
-		{"toucangw_gateway_queued", "Requests that wait for a slot of the local upstream.", func() int { return g.load().Queued }},
-		{"toucangw_gateway_slots", "Requests that may run at the local upstream at once.", func() int { return g.load().Limit }},
-		{"toucangw_gateway_upstreams", "Upstreams in the node's view.", g.upstreamCount},
-		{"toucangw_gateway_in_flight", "Requests that the node is serving.", func() int { return int(g.InFlight()) }},
+		{"toucangw_gateway_running", "Requests at the local upstream.", func() float64 { return float64(g.load().Running) }},
+		{"toucangw_gateway_queued", "Requests that wait for a slot of the local upstream.", func() float64 { return float64(g.load().Queued) }},
+		{"toucangw_gateway_slots", "Requests that may run at the local upstream at once.", func() float64 { return float64(g.load().Limit) }},
+		{"toucangw_gateway_upstreams", "Upstreams in the node's view.", func() float64 { return float64(g.upstreamCount()) }},
+		{"toucangw_gateway_upstreams_age_seconds", "Time since the store was read for the node's view.", func() float64 { return g.listAge().Seconds() }},
+		{"toucangw_gateway_store_reader", "1 if the node reads the store, 0 if it follows nodes that do.", func() float64 { return boolValue(g.readsStore()) }},
+		{"toucangw_gateway_in_flight", "Requests that the node is serving.", func() float64 { return float64(g.InFlight()) }},
 	} {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: v.name, Help: v.help},
-			func() float64 { return float64(v.value()) }))
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: v.name, Help: v.help}, v.value))
 	}
 }
 
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -92,10 +92,7 @@
 }
 
 func (g *Gateway) viewFor(known *forwardMeta, c *routetable.Config, hosts *directory.Snapshot) *peerView {
-	view := &peerView{Revision: hosts.Revision}
-	if g.cfg.ListAge != nil {
-		view.AgeMS = g.cfg.ListAge().Milliseconds()
-	}
+	view := &peerView{Revision: hosts.Revision, AgeMS: g.listAge().Milliseconds()}
 	if c.Version > known.Version {
 		view.Document = c.Document
 	}
--- a/node/http1/endless_test.go
+++ b/node/http1/endless_test.go
@@ -21,13 +21,12 @@
 	testDial    = 5 * time.Second
 )
 
-// startEndlessServer starts a server that answers each connection's first request
-// with head and then repeats rest until the client closes.
-func startEndlessServer(t *testing.T, head, rest string) string {
+// startConnServer starts a server that calls serve for each connection, which it
+// closes afterwards. It returns the address of the server.
+func startConnServer(t *testing.T, serve func(nc net.Conn, br *bufio.Reader)) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = lis.Close() })
-	block := []byte(strings.Repeat(rest, 1+(32<<10)/len(rest)))
 	go func() {
 		for {
 			nc, err := lis.Accept()
@@ -36,19 +35,28 @@
 			}
 			go func() {
 				defer func() { _ = nc.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
-					return
-				}
-				_, err := nc.Write([]byte(head))
-				for err == nil {
-					_, err = nc.Write(block)
-				}
+				serve(nc, bufio.NewReader(nc))
 			}()
 		}
 	}()
 	return lis.Addr().String()
 }
 
+// startEndlessServer starts a server that answers each connection's first request
+// with head and then repeats rest until the client closes.
+func startEndlessServer(t *testing.T, head, rest string) string {
+	block := []byte(strings.Repeat(rest, 1+(32<<10)/len(rest)))
+	return startConnServer(t, func(nc net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		_, err := nc.Write([]byte(head))
+		for err == nil {
+			_, err = nc.Write(block)
+		}
+	})
+}
+
 // Guards against a server that exhausts a node's memory, or occupies a connection
 // until the deadline, with a response head or body that has no end.
 func TestResponsesWithoutEnd(t *testing.T) {
@@ -143,37 +151,23 @@
 // connection twice. The second copy is sent immediately if late is not set, and
 // otherwise once the next request has arrived, before its response.
 func startRepeatingServer(t *testing.T, late bool, response func(id string) string) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			nc, err := lis.Accept()
+	return startConnServer(t, func(nc net.Conn, br *bufio.Reader) {
+		copies := ""
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				copies := ""
-				for n := 0; ; n++ {
-					req, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					text := response(req.Header.Get("Request-Id"))
-					_, _ = nc.Write([]byte(copies + text))
-					copies = ""
-					if n == 0 && late {
-						copies = text
-					} else if n == 0 {
-						_, _ = nc.Write([]byte(text))
-					}
-				}
-			}()
+			text := response(req.Header.Get("Request-Id"))
+			_, _ = nc.Write([]byte(copies + text))
+			copies = ""
+			if n == 0 && late {
+				copies = text
+			} else if n == 0 {
+				_, _ = nc.Write([]byte(text))
+			}
 		}
-	}()
-	return lis.Addr().String()
+	})
 }
 
 // Guards against the second copy of a response being taken for the response to the
--- a/node/http1/pool_test.go
+++ b/node/http1/pool_test.go
@@ -9,42 +9,26 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
 // startIdleResetServer starts a server that resets a connection at the first
 // request after an idle time longer than maxIdle. It returns the address of the
 // server.
 func startIdleResetServer(t *testing.T, maxIdle time.Duration) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
+	return startConnServer(t, func(nc net.Conn, br *bufio.Reader) {
+		idle := time.Now()
 		for {
-			nc, err := lis.Accept()
-			if err != nil {
+			if _, err := http.ReadRequest(br); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				idle := time.Now()
-				for {
-					_, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					if time.Since(idle) > maxIdle {
-						_ = nc.(*net.TCPConn).SetLinger(0)
-						return
-					}
-					_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-					idle = time.Now()
-				}
-			}()
+			if time.Since(idle) > maxIdle {
+				_ = nc.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			idle = time.Now()
 		}
-	}()
-	return lis.Addr().String()
+	})
 }
 
 // Guards against repeated failures with a server that discards idle connections
--- a/node/tuning/tuning.go
+++ b/node/tuning/tuning.go
@@ -24,20 +24,6 @@
 	maxProcs = 4
 )
 
-// Engine configures the scheduler and the garbage collector for a node in engine
-// mode. The environment variables GOMAXPROCS, GOGC and GOMEMLIMIT take precedence.
-func Engine() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
-	}
-	if os.Getenv("GOMAXPROCS") == "" {
-		runtime.GOMAXPROCS(min(maxProcs, runtime.GOMAXPROCS(0)))
-	}
-}
-
 const (
 	// gatewayGCPercent saves memory, which is scarcer on small hosts than in engine
 	// mode, at no measurable processor time: a gateway allocates only short-lived
@@ -49,13 +35,19 @@
 	gatewayMemoryLimit = 112 << 20
 )
 
+// Engine configures the scheduler and the garbage collector for a node in engine
+// mode. The environment variables GOMAXPROCS, GOGC and GOMEMLIMIT take precedence.
+func Engine() { set(gcPercent, memoryLimit) }
+
 // Gateway is Engine for a node in gateway mode.
-func Gateway() {
+func Gateway() { set(gatewayGCPercent, gatewayMemoryLimit) }
+
+func set(gcPercent int, memoryLimit int64) {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gatewayGCPercent)
+		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(gatewayMemoryLimit)
+		debug.SetMemoryLimit(memoryLimit)
 	}
 	if os.Getenv("GOMAXPROCS") == "" {
 		runtime.GOMAXPROCS(min(maxProcs, runtime.GOMAXPROCS(0)))
