dedup, node, toucangwctl: bounds that were missing or misreported

From 100,000 keys on the answer is that the request may run. - toucangw_keys_max and toucangw_key_max_bytes reported the defaults, not the limits in use. - toucangwctl cut replies above 16 MiB without a word; it is an error now. - TestUpstreamSheds checks Retry-After, which was right.

Tests: TestFencedKeysAreBounded, TestKeyLimitsInUse, TestLongReplyIsAnError.

--- a/cmd/toucangwctl/client.go
+++ b/cmd/toucangwctl/client.go
@@ -27,7 +27,7 @@
 }
 
 // request sends a request and returns the reply. A body longer than
-// maxReplyBytes is truncated.
+// maxReplyBytes is an error.
 func request(method, url string, header http.Header, body []byte) (reply, error) {
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
@@ -42,9 +42,12 @@
 		return reply{}, fmt.Errorf("ask node: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
 		return reply{}, fmt.Errorf("read reply: %w", err)
 	}
+	if len(data) > maxReplyBytes {
+		return reply{}, fmt.Errorf("read reply: it exceeds %d bytes", maxReplyBytes)
+	}
 	return reply{code: resp.StatusCode, status: resp.Status, header: resp.Header, body: data}, nil
 }
--- a/cmd/toucangwctl/status_test.go
+++ b/cmd/toucangwctl/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -45,3 +46,15 @@
 	t.Cleanup(other.Close)
 	require.Equal(t, exitUsage, runTool("status", "--node", strings.TrimPrefix(other.URL, "http://")).code)
 }
+
+// Guards against a reply that is cut without a word, whose end is then missing
+// from what the operator sees.
+func TestLongReplyIsAnError(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, maxReplyBytes+1))
+	}))
+	t.Cleanup(srv.Close)
+	got := runTool("status", "--node", strings.TrimPrefix(srv.URL, "http://"))
+	require.Equal(t, exitUsage, got.code)
+	require.Contains(t, got.err, "exceeds")
+}
--- a/core/dedup/dedup.go
+++ b/core/dedup/dedup.go
@@ -28,6 +28,9 @@
 	Queued
 	Running
 	Done
+	// Unknown keys could not be fenced, since too many are stored: their requests
+	// may still run.
+	Unknown
 )
 
 const (
@@ -36,8 +39,9 @@
 	// for each other.
 	retention = 30 * time.Second
 	// maxKeys is the number of keys from which on Begin refuses new ones, to
-	// bound the memory. QueryOrFence still adds the keys that it fences.
-	maxKeys = 50_000
+	// bound the memory. QueryOrFence adds the keys that it fences up to maxFenced.
+	maxKeys   = 50_000
+	maxFenced = 2 * maxKeys
 )
 
 // Ledger maps keys to answers of type A. It is safe for concurrent use.
@@ -116,6 +120,10 @@
 	l.mu.Lock()
 	l.sweep(now)
 	r := l.keys[key]
+	if r == nil && len(l.keys) >= maxFenced {
+		l.mu.Unlock()
+		return Unknown
+	}
 	if r == nil {
 		l.keys[key] = &record[A]{state: Fenced, changedAt: now}
 		l.mu.Unlock()
--- a/core/dedup/dedup_test.go
+++ b/core/dedup/dedup_test.go
@@ -1,6 +1,7 @@
 package dedup
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -56,3 +57,17 @@
 	assert.Len(t, l.keys, 2)
 	assert.Equal(t, Running, l.QueryOrFence(later, "running", func(string) {}))
 }
+
+// Guards against memory without a bound while many keys are queried that this
+// process has never seen, and against reporting such a key as fenced.
+func TestFencedKeysAreBounded(t *testing.T) {
+	l := New[string]()
+	for i := range maxFenced {
+		assert.Equal(t, Unseen, l.QueryOrFence(testNow, strconv.Itoa(i), nil))
+	}
+	assert.Equal(t, Unknown, l.QueryOrFence(testNow, "one more", nil))
+	assert.Equal(t, Fenced, l.QueryOrFence(testNow, "1", nil))
+	assert.Len(t, l.keys, maxFenced)
+	later := testNow.Add(2 * retention)
+	assert.Equal(t, Unseen, l.QueryOrFence(later, "one more", nil))
+}
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -41,6 +41,7 @@
 	require.Equal(t, http.StatusTooManyRequests, r.status)
 	require.Equal(t, "not-run", r.header.Get("Toucangw-Verdict"))
 	require.Equal(t, "shed", r.refusal(t)["request_id"])
+	require.Equal(t, "1", r.header.Get("Retry-After"), "as the upstream advises")
 	require.Zero(t, c.nodes[0].upstream.Counts().Runs)
 }
 
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -290,6 +290,9 @@
 		// An earlier process on this host may have run it.
 		return failed(verdict.MayHaveRun, verdict.KeyUnknown, "node started after the request was sent")
 	}
+	if state == dedup.Unknown {
+		return failed(verdict.MayHaveRun, verdict.KeyUnknown, "too many keys are stored")
+	}
 	if state == dedup.Unseen || state == dedup.Fenced {
 		return failed(verdict.NotRun, verdict.KeyFenced, "fenced before it began")
 	}
--- a/node/keys.go
+++ b/node/keys.go
@@ -19,6 +19,7 @@
 type keyTable struct {
 	host        member.HostID
 	incarnation uint64
+	limits      policy.Limits      // those of table
 	table       idempotency.Ledger // nil before the first configuration
 }
 
@@ -31,8 +32,13 @@
 // configuration.
 type limitSetter interface {
 	SetLimits(limits policy.Limits) error
+	// Limits returns the limits in use; zero before the first configuration.
+	Limits() policy.Limits
 }
 
+// Limits returns the limits of the table.
+func (k *keyTable) Limits() policy.Limits { return k.limits }
+
 // SetLimits creates the table. Later calls have no effect.
 func (k *keyTable) SetLimits(limits policy.Limits) error {
 	if k.table != nil {
@@ -55,7 +61,7 @@
 	if err != nil {
 		return fmt.Errorf("key table: %w", err)
 	}
-	k.table = table
+	k.table, k.limits = table, limits
 	return nil
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -68,7 +68,13 @@
 // telemetryState returns the values of the gauges.
 func (n *Node) telemetryState() telemetry.State {
 	var stats engine.Stats
-	n.driver.With(func() { stats = n.engine.Stats(time.Now()) })
+	limits := policy.Limits{MaxKeys: policy.DefaultMaxKeys, MaxKeyBytes: policy.DefaultMaxKeyBytes}
+	n.driver.With(func() {
+		stats = n.engine.Stats(time.Now())
+		if keys, ok := n.keys.(limitSetter); ok && keys.Limits().MaxKeys > 0 {
+			limits = keys.Limits()
+		}
+	})
 	config := n.source.Status()
 	return telemetry.State{
 		Ready:                n.Ready(),
@@ -80,9 +86,9 @@
 		Slots:                stats.Load.Slots,
 		QueueWait:            stats.Load.Wait,
 		Keys:                 stats.Keys,
-		KeysMax:              policy.DefaultMaxKeys, // the default, not the configured limit
+		KeysMax:              limits.MaxKeys,
 		KeyBytes:             stats.KeyBytes,
-		KeyBytesMax:          policy.DefaultMaxKeyBytes,
+		KeyBytesMax:          limits.MaxKeyBytes,
 		ConfigRevision:       stats.Revision,
 		RejectedRevision:     config.Rejected,
 		HostsRevision:        config.HostsRevision,
