--- a/node/discovery/follow.go
+++ b/node/discovery/follow.go
@@ -181,8 +181,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	k := Known{Version: w.version}
-	if w.read != nil {
-		k.Revision, k.Fingerprint = w.read.Revision, w.read.Fingerprint()
+	if w.unmerged != nil {
+		k.Revision, k.Fingerprint = w.unmerged.Revision, w.unmerged.Fingerprint()
 	}
 	return k
 }
@@ -191,8 +191,8 @@
 func (w *Watcher) adoptView(v View, reader string) {
 	w.mu.Lock()
 	list := v.Upstreams
-	if list == nil && w.read != nil {
-		list = w.read.AtRevision(max(v.Revision, w.read.Revision))
+	if list == nil && w.unmerged != nil {
+		list = w.unmerged.AtRevision(max(v.Revision, w.unmerged.Revision))
 	}
 	w.followedAt = time.Now()
 	w.mu.Unlock()
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -82,10 +82,12 @@
 type Watcher struct {
 	cfg Config
 
-	mu    sync.Mutex
-	list  *directory.Snapshot
-	read  *directory.Snapshot // the newest read, without entries kept from before an outage
-	local directory.LocalUpstream
+	mu   sync.Mutex
+	list *directory.Snapshot
+	// unmerged is the newest read of list, without entries kept from before an
+	// outage.
+	unmerged *directory.Snapshot
+	local    directory.LocalUpstream
 	// localRevision is the revision of the store of the last change of local.
 	localRevision uint64
 	leavingByList bool // a read of all entries has shown that local leaves
@@ -114,7 +116,7 @@
 	}
 	for _, loop := range tasks {
 		loops.Go(func() {
-			for ctx.Err() == nil && w.panics(ctx, loop) {
+			for ctx.Err() == nil && w.runRecovered(ctx, loop) {
 				pause(ctx, maxBackoff)
 			}
 		})
@@ -122,9 +124,9 @@
 	loops.Wait()
 }
 
-// panics runs a loop and reports whether it ended with a panic, for instance
+// runRecovered runs a loop and reports whether it ended with a panic, for instance
 // because of an entry that the decoder does not expect.
-func (w *Watcher) panics(ctx context.Context, loop func(context.Context)) (panicked bool) {
+func (w *Watcher) runRecovered(ctx context.Context, loop func(context.Context)) (panicked bool) {
 	defer func() {
 		if v := recover(); v != nil {
 			w.cfg.OnPanic(v, debug.Stack())
@@ -194,7 +196,7 @@
 // not read too often.
 type growingPause time.Duration
 
-func initialBackoff() growingPause { return growingPause(initialPoll) }
+func newGrowingPause() growingPause { return growingPause(initialPoll) }
 
 func (p *growingPause) next() time.Duration {
 	d := time.Duration(*p)
@@ -250,7 +252,7 @@
 // awaitConfig makes stale reads until one returns a configuration or the next
 // linearizable read is due.
 func (w *Watcher) awaitConfig(ctx context.Context) {
-	idle := initialBackoff()
+	idle := newGrowingPause()
 	for range linearizableEvery - 1 {
 		if !pause(ctx, idle.next()) {
 			return
@@ -409,11 +411,9 @@
 
 // pollList keeps the list of all upstreams up to date.
 func (w *Watcher) pollList(ctx context.Context) {
-	interval := initialPoll
-	idle := initialBackoff()
-	stale, empty := false, false
-	started := time.Now()
-	for reads := 1; ctx.Err() == nil; reads++ {
+	schedule := newListSchedule(time.Now())
+	stale := false
+	for ctx.Err() == nil {
 		w.awaitReading(ctx)
 		readAt := time.Now()
 		var read *directory.Snapshot
@@ -422,20 +422,15 @@
 			read, err = w.cfg.Source.Upstreams(ctx, stale)
 			return err
 		})
-		if err == nil && read.Len() > 0 {
-			w.updateList(read, "store", readAt)
-			interval = listPoll
+		if err != nil {
+			read = nil
 		}
-		empty = empty || err == nil && read.Len() == 0
-		// Once the upstreams are known, all reads are stale reads. Before that, an
-		// old read might return upstreams that left before this process started.
-		mayBeStale := empty || time.Since(started) > staleFallback
-		stale = interval == listPoll || mayBeStale && reads%linearizableEvery != 0
-		if empty && interval == initialPoll {
-			pause(ctx, idle.next())
-			continue
+		if read != nil && read.Len() > 0 {
+			w.updateList(read, "store", readAt)
 		}
-		pause(ctx, interval)
+		var wait time.Duration
+		stale, wait = schedule.next(time.Now(), read)
+		pause(ctx, wait)
 	}
 }
 
@@ -456,7 +451,7 @@
 	keep := !w.recovered.IsZero() && now.Sub(w.recovered) < reregisterTime
 	w.logChanges(w.list, read, source)
 	w.list = directory.Merge(w.list, read, keep)
-	w.read = read
+	w.unmerged = read
 	list := w.list
 	local := w.findLocal(list)
 	id, change := w.localChange(read)
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -44,8 +44,8 @@
 	return r
 }
 
-// admitAndRun waits for a slot and runs the request. It records the idempotency
-// key, if there is one, in the ledger.
+// admitAndRun runs a request unless the local upstream takes no new ones or the
+// idempotency key of the request is known.
 func (g *Gateway) admitAndRun(ctx context.Context, f *forward) *reply {
 	if refusal := g.rejectNewWork(f); refusal != nil {
 		return rejected(refusal)
@@ -71,6 +71,8 @@
 	return r
 }
 
+// queueAndRun waits for a slot and runs the request. It records the outcome of an
+// at-most-once request in the ledger.
 func (g *Gateway) queueAndRun(ctx context.Context, f *forward, req *concurrency.Request) *reply {
 	key := f.meta.Key
 	refusal := g.acquire(ctx, req)
