toucangwctl: bound the document that routes reads from standard input

A document without end was read until the memory was used up. It is an error from 16 MiB on; the store's values have at most 1 MB.

Test: TestRoutesBoundsStandardInput, which does not end without the change.

--- a/cmd/toucangwctl/routes.go
+++ b/cmd/toucangwctl/routes.go
@@ -89,10 +89,18 @@
 	return nil
 }
 
+// maxDocumentBytes bounds a configuration document on standard input; the store's
+// values have at most 1 MB.
+const maxDocumentBytes = 16 << 20
+
 func (c *routesCommand) read() (name string, data []byte, err error) {
 	if c.Args.File == "" {
-		data, err = io.ReadAll(c.in)
-		return "standard input", data, err
+		const name = "standard input"
+		data, err = io.ReadAll(io.LimitReader(c.in, maxDocumentBytes+1))
+		if err == nil && len(data) > maxDocumentBytes {
+			err = fmt.Errorf("%s exceeds %d bytes", name, maxDocumentBytes)
+		}
+		return name, data, err
 	}
 	data, err = os.ReadFile(string(c.Args.File))
 	return string(c.Args.File), data, err
--- a/cmd/toucangwctl/routes_test.go
+++ b/cmd/toucangwctl/routes_test.go
@@ -55,3 +55,15 @@
 	require.Equal(t, exitUsage, runTool("routes", "missing.json").code)
 	require.Equal(t, exitUsage, runTool("routes", "--path", "/x", "rule.json").code)
 }
+
+// endless never ends.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against a document on standard input that never ends and fills the
+// memory.
+func TestRoutesBoundsStandardInput(t *testing.T) {
+	_, _, err := (&routesCommand{in: endless{}}).read()
+	require.ErrorContains(t, err, "standard input exceeds")
+}
