gateway: what upstreams announce in their answers, in logs and metrics

No line or metric showed which rate limit an upstream had announced or how many requests its node sent to it, so the three hypotheses of the incident could not be told apart. The node in front of an upstream decodes the limit and logs each change, and once a second the requests and their senders while a limit is announced. Announcements are kept for one incarnation of an upstream. Nothing acts on them yet.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -163,9 +163,10 @@
 
 // LocalUpstream is the state of the local upstream according to the store.
 type LocalUpstream struct {
-	ID       string
-	Slots    int
-	Draining bool // the upstream is draining, or its entry no longer exists
+	ID        string
+	StartedAt time.Time
+	Slots     int
+	Draining  bool // the upstream is draining, or its entry no longer exists
 	// PreviousIDs holds the ids of the upstreams that had its address before.
 	PreviousIDs map[string]bool
 }
--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -119,10 +119,14 @@
 		w.previousIDs[before.ID] = true
 	}
 	local := directory.LocalUpstream{ID: id, Slots: before.Slots, Draining: change.Removed}
+	if before.ID == id {
+		local.StartedAt = before.StartedAt
+	}
 	if u := change.Upstream; u != nil {
-		local.Slots, local.Draining = u.Slots, u.State == directory.Draining
+		local.StartedAt, local.Slots, local.Draining = u.StartedAt, u.Slots, u.State == directory.Draining
 	}
-	changed := before.ID != local.ID || before.Draining != local.Draining || before.Slots != local.Slots
+	changed := before.ID != local.ID || !before.StartedAt.Equal(local.StartedAt) ||
+		before.Draining != local.Draining || before.Slots != local.Slots
 	delete(w.previousIDs, id) // an upstream may restart with the same ID
 	local.PreviousIDs = make(map[string]bool, len(w.previousIDs))
 	for p := range w.previousIDs {
--- /dev/null
+++ b/node/gateway/announcement.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"toucangw.example/core/advisory"
+	"toucangw.example/core/directory"
+)
+
+// announcement returns what the head of an upstream's answer announces. An answer
+// without the signature, such as a refusal, need not repeat a limit, so that it
+// does not end one; neither does a malformed one.
+func (g *Gateway) announcement(id string, h http.Header) advisory.Announcement {
+	names := &g.cfg.Headers
+	a := advisory.Announcement{Leaving: h.Get(names.Leaving) == "1"}
+	text := h.Get(names.RateLimit)
+	if text == "" {
+		if h.Get(names.Signature) != "" {
+			a.Limit = &advisory.Limit{}
+		}
+		return a
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		g.cfg.Logger.Debug("rate limit of an upstream ignored", "upstream", id, "value", text)
+		return a
+	}
+	a.Limit = &advisory.Limit{Active: true, PerSecond: rate}
+	return a
+}
+
+// instanceOf returns the incarnation of a listed upstream.
+func instanceOf(u *directory.Upstream) advisory.Instance {
+	return advisory.Instance{ID: u.ID, StartedAt: u.StartedAt.UnixMilli()}
+}
+
+// localAnnouncements holds what the present incarnation of the local upstream has
+// announced. It is safe for concurrent use.
+type localAnnouncements struct {
+	mu       sync.Mutex
+	upstream string // ID
+	state    advisory.State
+}
+
+// reset forgets the announcements of an earlier incarnation.
+func (l *localAnnouncements) reset(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.upstream, l.state = id, advisory.State{}
+}
+
+// record adds an announcement of the upstream with an ID.
+func (l *localAnnouncements) record(now time.Time, id string, a advisory.Announcement) (before, after advisory.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.upstream != id {
+		l.upstream, l.state = id, advisory.State{}
+	}
+	before = l.state
+	l.state = before.With(now, a)
+	return before, l.state
+}
+
+// current returns what the upstream with an ID has announced.
+func (l *localAnnouncements) current(id string) advisory.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.upstream != id {
+		return advisory.State{}
+	}
+	return l.state
+}
+
+// onLocalAnswer records what the local upstream announces in the head of an
+// answer to a request for the upstream with an ID.
+func (g *Gateway) onLocalAnswer(id string, h http.Header) {
+	if local := g.localUpstream.Load(); local != nil && local.ID != id {
+		return
+	}
+	a := g.announcement(id, h)
+	before, after := g.announced.record(time.Now(), id, a)
+	if after.Leaving && !before.Leaving {
+		g.cfg.Logger.Info("upstream leaves", "upstream", id, "service", g.cfg.Service, "source", "own answer")
+	}
+	if before.Limit != after.Limit {
+		g.cfg.Metrics.rateLimit.Set(after.Limit.PerSecond)
+		g.cfg.Logger.Info("upstream rate limit", "upstream", id, "active", after.Limit.Active,
+			"per_s", after.Limit.PerSecond, "before_per_s", before.Limit.PerSecond)
+	}
+}
+
+// onAnswer records what an upstream announces in an answer that this node passes
+// on.
+func (g *Gateway) onAnswer(u *directory.Upstream, r *reply) {
+	if r.answer == nil {
+		return
+	}
+	before, after := g.recordAnnouncement(instanceOf(u), r.answer.Header)
+	if after.Leaving && !before.Leaving {
+		g.cfg.Logger.Info("upstream leaves", "upstream", u.ID, "service", u.Service, "source", "answer")
+	}
+}
+
+// recordAnnouncement records the announcement in the head of an answer. Answers of
+// upstreams that have announced nothing need no record.
+func (g *Gateway) recordAnnouncement(i advisory.Instance, h http.Header) (before, after advisory.State) {
+	a := g.announcement(i.ID, h)
+	before = g.advisories.State(i)
+	if before == (advisory.State{}) && !a.Leaving && (a.Limit == nil || !a.Limit.Active) {
+		return before, before
+	}
+	return g.advisories.Record(time.Now(), i, a)
+}
+
+// limitedTraffic logs, once a second, how many requests the local upstream gets
+// while it announces a rate limit, and from how many hosts. It is safe for
+// concurrent use.
+type limitedTraffic struct {
+	logger *slog.Logger
+
+	mu       sync.Mutex
+	second   int64
+	requests int
+	bySender map[string]int
+}
+
+// onRequest counts a request that is sent to the local upstream.
+func (t *limitedTraffic) onRequest(now time.Time, sender string, limit advisory.Limit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if second := now.Unix(); second != t.second {
+		t.log()
+		t.second, t.requests, t.bySender = second, 0, nil
+	}
+	if !limit.Active {
+		return
+	}
+	if t.bySender == nil {
+		t.bySender = map[string]int{}
+	}
+	t.requests++
+	t.bySender[sender]++
+}
+
+// log writes the counts of the last second with requests. t.mu must be held.
+func (t *limitedTraffic) log() {
+	if t.requests == 0 {
+		return
+	}
+	largest := 0
+	for _, n := range t.bySender {
+		largest = max(largest, n)
+	}
+	t.logger.Info("requests to an upstream with a rate limit", "second", t.second, "requests", t.requests,
+		"senders", len(t.bySender), "most_from_one", largest)
+}
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -261,6 +261,7 @@
 		f.meta.Key = g.keys.newKey()
 	}
 	r := g.send(ctx, u, f)
+	g.onAnswer(u, r)
 	g.balancer.OnDone(time.Now(), u.ID, resultOf(q, r))
 	g.routeGraph.SetCallers(time.Now(), q.route.Name, r.meta.Callers)
 	if r.meta.ReachedUpstream || r.answer != nil || r.meta.verdict() != verdict.NotRun {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"toucangw.example/core/admissionprob"
+	"toucangw.example/core/advisory"
 	"toucangw.example/core/balance"
 	"toucangw.example/core/calltree"
 	"toucangw.example/core/concurrency"
@@ -37,6 +38,11 @@
 	NotExecuted string
 	// CallerService is the service of the host from which a request was sent.
 	CallerService string
+	// RateLimit is set by an upstream in need: the requests per second that it
+	// takes from all hosts together, for as long as it sets the header.
+	RateLimit string
+	// Leaving is "1" on the answers of an upstream that is about to leave.
+	Leaving string
 }
 
 // Config configures a Gateway.
@@ -84,6 +90,9 @@
 	latencies      admissionprob.LatencyTracker
 	advertisements advertisements
 	ledger         *dedup.Ledger[*reply]
+	advisories     *advisory.Table // announcements of upstreams in their answers
+	announced      localAnnouncements
+	limitedTraffic limitedTraffic // to the local upstream
 
 	limiterMu sync.Mutex
 	limiter   *concurrency.Limiter
@@ -123,6 +132,7 @@
 		demand:        admissionprob.NewEstimator(),
 		probabilities: admissionprob.NewTable(),
 		ledger:        dedup.New[*reply](),
+		advisories:    advisory.NewTable(),
 		limiter:       concurrency.New(initialSlots),
 		waiters:       map[*concurrency.Request]*waiter{},
 		peerPool:      http1.NewPool(http1.PoolConfig{Dial: peerDialTimeout, Idle: peerIdle, MaxHead: maxReplyHead}),
@@ -132,6 +142,7 @@
 		startedAt:     time.Now(),
 		selfAddress:   netip.AddrPortFrom(cfg.Upstream.Addr(), cfg.PeerPort).String(),
 	}
+	g.limitedTraffic.logger = cfg.Logger
 	cfg.Metrics.registerGauges(g)
 	return g
 }
@@ -162,7 +173,9 @@
 
 // SetLocalUpstream replaces the state of the local upstream.
 func (g *Gateway) SetLocalUpstream(s directory.LocalUpstream) {
-	g.localUpstream.Store(&s)
+	if old := g.localUpstream.Swap(&s); old != nil && (old.ID != s.ID || !old.StartedAt.Equal(s.StartedAt)) {
+		g.announced.reset(s.ID)
+	}
 	if s.Slots <= 0 {
 		return
 	}
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -150,6 +150,8 @@
 		g.release(req, service)
 		g.demand.OnComplete(f.meta.RootRoute, time.Since(started))
 	}
+	g.cfg.Metrics.upstreamSent.Inc()
+	g.limitedTraffic.onRequest(started, f.meta.Sender, g.announced.current(f.meta.Upstream).Limit)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(upstreamGrace))
 	response, err := g.upstreamPool.Do(ctx, g.cfg.Upstream.String(), g.upstreamRequest(f, left))
 	if err != nil {
@@ -157,6 +159,7 @@
 		end(0)
 		return classifyUpstreamError(ctx, err)
 	}
+	g.onLocalAnswer(f.meta.Upstream, response.Header)
 	r := g.readAnswer(response)
 	r.meta.WaitedUS = req.Waited(started).Microseconds()
 	r.meta.ReachedUpstream = true
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -24,6 +24,8 @@
 	upstreamTime prometheus.Histogram
 	omitted      prometheus.Counter
 	panics       prometheus.Counter
+	upstreamSent prometheus.Counter
+	rateLimit    prometheus.Gauge
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -61,12 +63,21 @@
 			Name: "toucangw_gateway_panics_total",
 			Help: "Panics that ended a request or a read of the store. Each is a fault of the program.",
 		}),
+		upstreamSent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "toucangw_gateway_upstream_requests_total",
+			Help: "Requests sent to the local upstream.",
+		}),
+		rateLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "toucangw_gateway_upstream_rate_limit",
+			Help: "Requests per second that the local upstream announces to take; 0 without a limit.",
+		}),
 		omitted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "toucangw_gateway_log_lines_omitted_total",
 			Help: "Decision log lines omitted because of the byte budget.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.version, m.storeCalls, m.queueTime, m.upstreamTime, m.omitted, m.panics)
+	m.registry.MustRegister(m.requests, m.latency, m.version, m.storeCalls, m.queueTime, m.upstreamTime, m.omitted, m.panics,
+		m.upstreamSent, m.rateLimit)
 	m.initialise()
 	return m
 }
