--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -20,6 +20,7 @@
 	DeadlineMS               int64
 	Body                     string
 	Header                   http.Header
+	At                       time.Time
 }
 
 // Config configures a Backend.
@@ -44,6 +45,7 @@
 	mu          sync.Mutex
 	runs        []Run
 	cancelled   int
+	announced   http.Header // set on each response
 	maxInFlight int
 	inFlight    int
 }
@@ -53,6 +55,27 @@
 	return &Backend{cfg: cfg, slots: make(chan struct{}, max(cfg.Slots, 1))}
 }
 
+// AnnounceLimit announces on all further responses that the upstream takes the given
+// number of requests per second, as text; empty ends the announcement.
+func (b *Backend) AnnounceLimit(perSecond string) { b.announce("Server-Limit", perSecond) }
+
+// AnnounceLeaving announces on all further responses that the upstream leaves.
+func (b *Backend) AnnounceLeaving() { b.announce("Server-Leaving", "1") }
+
+func (b *Backend) announce(name, value string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := b.announced.Clone()
+	if next == nil {
+		next = http.Header{}
+	}
+	next.Del(name)
+	if value != "" {
+		next.Set(name, value)
+	}
+	b.announced = next
+}
+
 // Runs returns the requests that were started.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -79,6 +102,12 @@
 
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	announced := b.announced
+	b.mu.Unlock()
+	for name, values := range announced {
+		w.Header()[name] = values
+	}
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != b.cfg.ID {
 		w.Header().Set("Instance-Id", b.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -114,7 +143,7 @@
 	b.maxInFlight = max(b.maxInFlight, b.inFlight)
 	b.runs = append(b.runs, Run{
 		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host,
-		Caller: r.Header.Get("Caller-Service"), DeadlineMS: ms, Body: string(body), Header: r.Header.Clone(),
+		Caller: r.Header.Get("Caller-Service"), DeadlineMS: ms, Body: string(body), Header: r.Header.Clone(), At: time.Now(),
 	})
 	return time.Now().Add(time.Duration(ms) * time.Millisecond)
 }
