gateway: enforce the rate limit that an upstream announces

Cause: nothing read the announcement. A node bounded how many requests run at its upstream, not how many start in a second.

The node in front of an upstream is the only way to it, so it alone enforces the limit for all senders: core/concurrency starts requests at the announced rate (token bucket, half a second of burst), the most important first. Beyond that, a request that its sender can place elsewhere waits at most 25 ms, any other a quarter of its time; then it is refused as not run. The limit bounds the reported capacity (rate x service time), by which senders choose upstreams, and the admission of clients' requests only while some request finds no other upstream.

--- a/core/admissionprob/estimator.go
+++ b/core/admissionprob/estimator.go
@@ -31,6 +31,9 @@
 	demandTimeConstant = 350 * time.Millisecond
 	// updateInterval is the interval at which probabilities are computed.
 	updateInterval = 50 * time.Millisecond
+	// capacityChange is the relative change of the capacity from which on the
+	// probabilities are computed at once.
+	capacityChange = 0.1
 	// usableCapacity is the part of the capacity that is allocated; the rest
 	// absorbs the variation of the demand.
 	usableCapacity = 0.98
@@ -148,23 +151,23 @@
 }
 
 // Probabilities returns the probabilities of the routes that are throttled, or
-// were until recently, for an upstream with a number of slots. Remote returns
+// were until recently, for an upstream with a capacity in slots. Remote returns
 // the remote probability of a route: what other services reject leaves room for
 // the other routes here.
-func (e *Estimator) Probabilities(now time.Time, slots int, remote func(route string) float64) []Advertised {
+func (e *Estimator) Probabilities(now time.Time, capacity float64, remote func(route string) float64) []Advertised {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now.Sub(e.lastComputed) < updateInterval && e.capacity == float64(slots) {
+	if now.Sub(e.lastComputed) < updateInterval && math.Abs(capacity-e.capacity) <= capacityChange*e.capacity {
 		return e.advertised
 	}
 	e.decay(now)
 	e.updateCorrections(min(now.Sub(e.lastComputed), 2*updateInterval))
 	e.lastComputed = now
-	e.capacity = float64(slots)
+	e.capacity = capacity
 	for route, d := range e.routes {
 		d.remoteBound = min(1, remoteMargin*remote(route))
 	}
-	e.allocate(now, usableCapacity*float64(slots))
+	e.allocate(now, usableCapacity*capacity)
 	return e.advertised
 }
 
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,6 +24,10 @@
 	coldStartFactor = 1.6
 	// maxReportAge is the age after which a load report is no longer used.
 	maxReportAge = 2 * time.Second
+	// minCapacity bounds the effect of a very low rate limit.
+	minCapacity = 0.1
+	// maxLimitAge is the age after which a reported rate limit is no longer used.
+	maxLimitAge = 10 * time.Second
 	// failureWeight is the weight of one outcome in the failure rate.
 	failureWeight = 0.12
 	// failureHalfLife is the half-life of the failure rate, after which an
@@ -53,7 +57,12 @@
 
 // Report is the load of an upstream, as reported by the node in front of it.
 type Report struct {
-	Running, Queued, Limit int
+	Running, Queued int
+	// Capacity is the number of requests that run at once when the upstream is
+	// fully used. It is below one for an upstream with a low rate limit.
+	Capacity float64
+	// Limited is set if a rate limit leaves less capacity than the slots.
+	Limited bool
 }
 
 // Result is the result of one attempt.
@@ -174,9 +183,12 @@
 	s := b.state(u.ID)
 	load := float64(s.inFlight)
 	limit := float64(max(u.Slots, 1))
-	if now.Sub(s.reportedAt) < maxReportAge {
+	age := now.Sub(s.reportedAt)
+	if age < maxReportAge {
 		load = max(load, float64(s.report.Running+s.report.Queued+s.sentSinceReport))
-		limit = float64(max(s.report.Limit, 1))
+	}
+	if age < maxReportAge || s.report.Limited && age < maxLimitAge {
+		limit = max(s.report.Capacity, minCapacity)
 	}
 	utilisation := (load + 1) / limit
 	if u.Zone != b.zone {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -44,13 +44,13 @@
 func TestLocalZoneFirstWhileNoBusier(t *testing.T) {
 	b := New("a")
 	list := upstreams("a", "b")
-	count := countPicks(b, list, 100, func(string) Result { return Result{Report: &Report{Running: 1, Limit: 10}} })
+	count := countPicks(b, list, 100, func(string) Result { return Result{Report: &Report{Running: 1, Capacity: 10}} })
 	assert.Equal(t, 100, count["u0"])
 	count = countPicks(b, list, 100, func(id string) Result {
 		if id == "u0" {
-			return Result{Report: &Report{Running: 10, Queued: 5, Limit: 10}}
+			return Result{Report: &Report{Running: 10, Queued: 5, Capacity: 10}}
 		}
-		return Result{Report: &Report{Running: 2, Limit: 10}}
+		return Result{Report: &Report{Running: 2, Capacity: 10}}
 	})
 	assert.Greater(t, count["u1"], 90)
 }
@@ -64,7 +64,7 @@
 		if id == "u1" {
 			took = 200 * time.Millisecond
 		}
-		return Result{Report: &Report{Running: 5, Limit: 10}, Service: took, Route: "r"}
+		return Result{Report: &Report{Running: 5, Capacity: 10}, Service: took, Route: "r"}
 	})
 	assert.Less(t, count["u1"], 60)
 	assert.NotZero(t, count["u1"], "it must be tried again to detect its recovery")
@@ -75,7 +75,7 @@
 	b := New("a")
 	list := upstreams("a", "a", "a")
 	count := countPicks(b, list, 600, func(id string) Result {
-		return Result{Report: &Report{Running: 2, Limit: 10}, Failed: id == "u2"}
+		return Result{Report: &Report{Running: 2, Capacity: 10}, Failed: id == "u2"}
 	})
 	assert.Less(t, count["u2"], 60)
 }
@@ -89,7 +89,7 @@
 	for range 50 {
 		c := b.Pick(testNow, list, skipNone)
 		assert.Equal(t, "u1", c.Upstream.ID)
-		b.OnDone(testNow, "u1", Result{Report: &Report{Limit: 10}})
+		b.OnDone(testNow, "u1", Result{Report: &Report{Capacity: 10}})
 	}
 	later := testNow.Add(minSuspension)
 	count := map[string]int{}
@@ -119,7 +119,7 @@
 	assert.NotNil(t, first.Upstream, "one request tests each")
 	assert.NotNil(t, second.Upstream)
 	assert.Nil(t, b.Pick(now, list, skipNone).Upstream)
-	b.OnDone(now, first.Upstream.ID, Result{Report: &Report{Limit: 10}})
+	b.OnDone(now, first.Upstream.ID, Result{Report: &Report{Capacity: 10}})
 	assert.Equal(t, first.Upstream.ID, b.Pick(now, list, skipNone).Upstream.ID, "it has recovered")
 }
 
--- a/core/concurrency/limiter.go
+++ b/core/concurrency/limiter.go
@@ -1,7 +1,8 @@
 // Package concurrency limits the number of requests in flight at the local
-// upstream of a node. The node is the only way to its local upstream, so the
-// number is known exactly. Requests above the limit wait here, ordered by
-// importance, instead of inside the upstream.
+// upstream of a node, and the rate at which they start if the upstream announces a
+// limit of it. The node is the only way to its local upstream, so both are known
+// exactly. Requests above the limits wait here, ordered by importance, instead of
+// inside the upstream.
 package concurrency
 
 import (
@@ -34,6 +35,8 @@
 	Deadline time.Time
 	// MaxWait bounds the time in the queue.
 	MaxWait time.Duration
+	// Elsewhere is set if the sender tries another upstream after a rejection.
+	Elsewhere bool
 
 	arrived  time.Time
 	started  time.Time
@@ -68,6 +71,9 @@
 // Load is a snapshot of the load of a limiter.
 type Load struct {
 	Running, Queued, Limit int
+	// Capacity is the number of requests that run at once when the upstream is
+	// fully used: Limit, or fewer if the rate is limited.
+	Capacity float64
 	// Wait is the expected queue time of a request that is less important than
 	// all others.
 	Wait time.Duration
@@ -80,6 +86,12 @@
 	serviceTimeWeight = 0.05
 	// minRetryAfter is the shortest retry-after time.
 	minRetryAfter = 50 * time.Millisecond
+	// maxPacedWait is how long a request may wait because of a rate limit if it
+	// can run elsewhere.
+	maxPacedWait = 25 * time.Millisecond
+	// maxPacedWaitShare is the part of its remaining time for which a request may
+	// wait because of a rate limit if it cannot run elsewhere.
+	maxPacedWaitShare = 0.25
 )
 
 // Limiter is the concurrency limiter and the queue of one upstream. It is not
@@ -90,6 +102,7 @@
 	queue    []*Request // most important first
 	sequence uint64
 	mean     float64 // mean service time in seconds
+	pace     pacer
 }
 
 // New returns a limiter that lets limit requests run at once.
@@ -103,17 +116,37 @@
 	return l.dispatch(now, nil)
 }
 
+// SetRate limits the rate at which requests start, in requests per second.
+func (l *Limiter) SetRate(now time.Time, perSecond float64) []Decision {
+	l.pace.limit(now, perSecond)
+	return l.dispatch(now, l.preempt(now, l.expire(now, nil)))
+}
+
+// ClearRate ends the limit of the rate.
+func (l *Limiter) ClearRate(now time.Time) []Decision {
+	l.pace.unlimit()
+	return l.dispatch(now, l.expire(now, nil))
+}
+
+// NextStart returns the time after which Expire starts a waiting request, if only
+// the rate holds it back.
+func (l *Limiter) NextStart(now time.Time) (delay time.Duration, waiting bool) {
+	if len(l.queue) == 0 || l.running >= l.limit || !l.pace.active {
+		return 0, false
+	}
+	return l.pace.delay(now, 1), true
+}
+
 // Offer admits, queues or rejects a request. The result may include decisions
 // about other requests.
 func (l *Limiter) Offer(now time.Time, req *Request) []Decision {
 	out := l.expire(now, nil)
 	req.arrived = now
-	if l.running < l.limit && len(l.queue) == 0 {
+	if l.running < l.limit && len(l.queue) == 0 && l.pace.take(now) {
 		return append(out, l.start(now, req))
 	}
 	index := l.indexFor(req.Rank)
-	wait := l.waitAt(index)
-	if !l.inTime(now, req, wait) {
+	if !l.inTime(now, req, index) {
 		return append(out, l.reject(now, req, verdict.QueueFull))
 	}
 	l.sequence++
@@ -125,20 +158,33 @@
 	return l.dispatch(now, l.preempt(now, out))
 }
 
-// inTime reports whether a request is still worth running after the given wait.
-func (l *Limiter) inTime(now time.Time, req *Request, wait time.Duration) bool {
+// inTime reports whether a request is still worth running after the wait at an
+// index of the queue.
+func (l *Limiter) inTime(now time.Time, req *Request, index int) bool {
+	if l.pace.delay(now, index+1) > maxPaced(now, req) {
+		return false
+	}
+	wait := l.waitAt(now, index)
 	if req.MaxWait > 0 && now.Add(wait).After(req.arrived.Add(req.MaxWait)) {
 		return false
 	}
 	return now.Add(wait + l.serviceTime()/2).Before(req.Deadline)
 }
 
+// maxPaced returns how long a request may wait from now on because of a rate limit.
+func maxPaced(now time.Time, req *Request) time.Duration {
+	if req.Elsewhere {
+		return maxPacedWait
+	}
+	return time.Duration(maxPacedWaitShare * float64(req.Deadline.Sub(now)))
+}
+
 // preempt rejects waiting requests that can no longer be served in time because
 // of an arrival, the least important first.
 func (l *Limiter) preempt(now time.Time, out []Decision) []Decision {
 	for i := len(l.queue) - 1; i >= 0; i-- {
 		req := l.queue[i]
-		if l.inTime(now, req, l.waitAt(i)) {
+		if l.inTime(now, req, i) {
 			break
 		}
 		l.queue = l.queue[:i]
@@ -181,23 +227,38 @@
 func (l *Limiter) Expire(now time.Time) []Decision { return l.dispatch(now, l.expire(now, nil)) }
 
 // Load returns the present load.
-func (l *Limiter) Load() Load {
-	return Load{Running: l.running, Queued: len(l.queue), Limit: l.limit, Wait: l.waitAt(len(l.queue))}
+func (l *Limiter) Load(now time.Time) Load {
+	return Load{
+		Running: l.running, Queued: len(l.queue), Limit: l.limit, Capacity: l.capacity(),
+		Wait: l.waitAt(now, len(l.queue)),
+	}
+}
+
+// capacity returns the number of requests that run at once at the limited rate, by
+// Little's law, within the limit.
+func (l *Limiter) capacity() float64 {
+	if !l.pace.active {
+		return float64(l.limit)
+	}
+	return min(float64(l.limit), l.pace.rate*l.mean)
 }
 
 // EstimatedWait returns the expected queue time of a request with a rank.
-func (l *Limiter) EstimatedWait(rank Rank) time.Duration { return l.waitAt(l.indexFor(rank)) }
+func (l *Limiter) EstimatedWait(now time.Time, rank Rank) time.Duration {
+	return l.waitAt(now, l.indexFor(rank))
+}
 
 func (l *Limiter) serviceTime() time.Duration { return time.Duration(l.mean * float64(time.Second)) }
 
 // waitAt returns the expected queue time at an index of the queue.
-func (l *Limiter) waitAt(index int) time.Duration {
+func (l *Limiter) waitAt(now time.Time, index int) time.Duration {
+	paced := l.pace.delay(now, index+1)
 	free := l.limit - l.running
 	if index < free {
-		return 0
+		return paced
 	}
 	ahead := float64(index-max(free, 0)) + 1
-	return time.Duration(ahead / float64(l.limit) * l.mean * float64(time.Second))
+	return max(paced, time.Duration(ahead/float64(l.limit)*l.mean*float64(time.Second)))
 }
 
 // indexFor returns the index at which a new request is queued: behind all
@@ -225,9 +286,9 @@
 	return out
 }
 
-// dispatch starts waiting requests while slots are free.
+// dispatch starts waiting requests while slots are free and the rate allows it.
 func (l *Limiter) dispatch(now time.Time, out []Decision) []Decision {
-	for l.running < l.limit && len(l.queue) > 0 {
+	for l.running < l.limit && len(l.queue) > 0 && l.pace.take(now) {
 		req := l.queue[0]
 		l.queue = l.queue[1:]
 		out = append(out, l.start(now, req))
@@ -242,9 +303,13 @@
 	return Decision{Request: req}
 }
 
-func (l *Limiter) reject(_ time.Time, req *Request, reason verdict.Reason) Decision {
+func (l *Limiter) reject(now time.Time, req *Request, reason verdict.Reason) Decision {
 	req.state = ended
-	refusal := verdict.Refuse(reason, "no slot in time")
-	refusal.RetryAfter = max(l.EstimatedWait(req.Rank), minRetryAfter)
+	detail := "no slot in time"
+	if l.pace.active {
+		detail = "no slot in time at the rate limit of the upstream"
+	}
+	refusal := verdict.Refuse(reason, detail)
+	refusal.RetryAfter = max(l.EstimatedWait(now, req.Rank), minRetryAfter)
 	return Decision{Request: req, Refusal: refusal}
 }
--- a/core/concurrency/limiter_test.go
+++ b/core/concurrency/limiter_test.go
@@ -28,7 +28,8 @@
 		}
 	}
 	assert.Equal(t, 2, running)
-	assert.Equal(t, Load{Running: 2, Queued: 3, Limit: 2, Wait: l.Load().Wait}, l.Load())
+	load := l.Load(testNow)
+	assert.Equal(t, Load{Running: 2, Queued: 3, Limit: 2, Capacity: 2, Wait: load.Wait}, load)
 }
 
 // Guards against a less important request that gets a slot before a more
@@ -98,5 +99,5 @@
 	assert.False(t, l.Cancel(second))
 	assert.Empty(t, l.Done(testNow, first, time.Millisecond))
 	assert.Empty(t, l.Done(testNow, first, time.Millisecond))
-	assert.Zero(t, l.Load().Running)
+	assert.Zero(t, l.Load(testNow).Running)
 }
--- a/node/gateway/admission.go
+++ b/node/gateway/admission.go
@@ -38,9 +38,9 @@
 
 // advertiseProbabilities adds the admission probabilities to a reply, unless
 // they were sent to the same node less than advertiseInterval ago.
-func (g *Gateway) advertiseProbabilities(f *forward, r *reply, limit int) {
+func (g *Gateway) advertiseProbabilities(f *forward, r *reply, capacity float64) {
 	if g.advertisements.due(time.Now(), f.meta.Sender) {
-		r.meta.Probabilities = g.advertisedProbabilities(limit)
+		r.meta.Probabilities = g.advertisedProbabilities(capacity)
 		return
 	}
 	r.meta.ProbabilitiesOmitted = true
@@ -48,11 +48,11 @@
 
 // advertisedProbabilities returns the admission probabilities of the local
 // upstream, which it also records, and those received from other services.
-func (g *Gateway) advertisedProbabilities(limit int) []probabilityMeta {
+func (g *Gateway) advertisedProbabilities(capacity float64) []probabilityMeta {
 	now := time.Now()
 	var out []probabilityMeta
 	remote := func(route string) float64 { return g.probabilities.RemoteProbability(now, g.cfg.Service, route) }
-	for _, p := range g.demand.Probabilities(now, limit, remote) {
+	for _, p := range g.demand.Probabilities(now, capacity, remote) {
 		out = append(out, probabilityMeta{Service: g.cfg.Service, Route: p.Route, Probability: p.Probability})
 		g.probabilities.Update(now, admissionprob.Received{Service: g.cfg.Service, Route: p.Route, Probability: p.Probability})
 	}
--- a/node/gateway/announcement.go
+++ b/node/gateway/announcement.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"toucangw.example/core/advisory"
+	"toucangw.example/core/concurrency"
 	"toucangw.example/core/directory"
 )
 
@@ -76,6 +78,13 @@
 	return l.state
 }
 
+// limit returns the rate limit that the local upstream has announced last.
+func (l *localAnnouncements) limit() advisory.Limit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Limit
+}
+
 // onLocalAnswer records what the local upstream announces in the head of an
 // answer to a request for the upstream with an ID.
 func (g *Gateway) onLocalAnswer(id string, h http.Header) {
@@ -88,7 +97,7 @@
 		g.cfg.Logger.Info("upstream leaves", "upstream", id, "service", g.cfg.Service, "source", "own answer")
 	}
 	if before.Limit != after.Limit {
-		g.cfg.Metrics.rateLimit.Set(after.Limit.PerSecond)
+		g.applyRateLimit()
 		g.cfg.Logger.Info("upstream rate limit", "upstream", id, "active", after.Limit.Active,
 			"per_s", after.Limit.PerSecond, "before_per_s", before.Limit.PerSecond)
 	}
@@ -159,3 +168,23 @@
 	t.logger.Info("requests to an upstream with a rate limit", "second", t.second, "requests", t.requests,
 		"senders", len(t.bySender), "most_from_one", largest)
 }
+
+// rateShortage tells whether the rate limit of the local upstream leaves requests
+// without an upstream. As long as their senders find others, the limit is no reason
+// to admit fewer requests of clients. It is safe for concurrent use.
+type rateShortage struct{ lastUnmovable atomic.Int64 }
+
+// shortagePeriod is how long the rate limit bounds the capacity after a request
+// that could run nowhere else.
+const shortagePeriod = time.Second
+
+// onArrival records a request that can run at no other upstream.
+func (s *rateShortage) onArrival(now time.Time) { s.lastUnmovable.Store(now.UnixNano()) }
+
+// usableCapacity returns the capacity to which the demand is compared.
+func (s *rateShortage) usableCapacity(now time.Time, load concurrency.Load) float64 {
+	if now.UnixNano()-s.lastUnmovable.Load() < int64(shortagePeriod) {
+		return load.Capacity
+	}
+	return float64(load.Limit)
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -93,10 +93,12 @@
 	advisories     *advisory.Table // announcements of upstreams in their answers
 	announced      localAnnouncements
 	limitedTraffic limitedTraffic // to the local upstream
+	rateShortage   rateShortage   // of the local upstream
 
-	limiterMu sync.Mutex
-	limiter   *concurrency.Limiter
-	waiters   map[*concurrency.Request]*waiter
+	limiterMu  sync.Mutex
+	limiter    *concurrency.Limiter
+	waiters    map[*concurrency.Request]*waiter
+	startTimer *time.Timer // nil until a rate limit makes requests wait
 
 	peerPool     *http1.Pool // to other nodes
 	upstreamPool *http1.Pool // to the local upstream
@@ -175,6 +177,7 @@
 func (g *Gateway) SetLocalUpstream(s directory.LocalUpstream) {
 	if old := g.localUpstream.Swap(&s); old != nil && (old.ID != s.ID || !old.StartedAt.Equal(s.StartedAt)) {
 		g.announced.reset(s.ID)
+		g.applyRateLimit()
 	}
 	if s.Slots <= 0 {
 		return
@@ -248,8 +251,13 @@
 // maxLoggedStack bounds the bytes of a stack in the log.
 const maxLoggedStack = 4 << 10
 
-// Close closes idle connections.
+// Close closes idle connections and stops timers.
 func (g *Gateway) Close() {
+	g.limiterMu.Lock()
+	if g.startTimer != nil {
+		g.startTimer.Stop()
+	}
+	g.limiterMu.Unlock()
 	g.peerPool.Close()
 	g.upstreamPool.Close()
 }
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -37,10 +37,13 @@
 	r.meta.Callers = callers
 	load := g.load()
 	r.meta.Running, r.meta.Queued, r.meta.Limit = load.Running, load.Queued, load.Limit
+	if load.Capacity < float64(load.Limit) {
+		r.meta.Capacity = load.Capacity
+	}
 	if c := g.routes.Load(); c != nil {
 		r.meta.Version = c.Version
 	}
-	g.advertiseProbabilities(f, r, load.Limit)
+	g.advertiseProbabilities(f, r, g.rateShortage.usableCapacity(time.Now(), load))
 	return r
 }
 
@@ -50,7 +53,11 @@
 	if refusal := g.rejectNewWork(f); refusal != nil {
 		return rejected(refusal)
 	}
-	g.demand.OnArrival(time.Now(), f.meta.RootRoute, f.meta.Priority, f.meta.AdmissionProbability)
+	movable := f.meta.Elsewhere && g.announced.limit().Active
+	if !movable {
+		g.rateShortage.onArrival(time.Now())
+		g.countArrival(f)
+	}
 	key := f.meta.Key
 	if key != "" && !g.ledger.Begin(time.Now(), key) {
 		return failed(verdict.MayHaveRun, verdict.KeyFenced, "the key was used before")
@@ -59,6 +66,8 @@
 		Rank:     concurrency.RankOf(f.meta.Priority, f.meta.Call),
 		Deadline: f.deadline,
 		MaxWait:  time.Duration(f.meta.WaitMS) * time.Millisecond,
+
+		Elsewhere: f.meta.Elsewhere,
 	}
 	returned := false
 	defer func() {
@@ -66,18 +75,29 @@
 			g.release(req, 0) // a panic must not keep the slot
 		}
 	}()
-	r := g.queueAndRun(ctx, f, req)
+	r := g.queueAndRun(ctx, f, req, movable)
 	returned = true
 	return r
 }
 
+// countArrival counts a request in the demand for the local upstream.
+func (g *Gateway) countArrival(f *forward) {
+	g.demand.OnArrival(time.Now(), f.meta.RootRoute, f.meta.Priority, f.meta.AdmissionProbability)
+}
+
 // queueAndRun waits for a slot and runs the request. It records the outcome of an
-// at-most-once request in the ledger.
-func (g *Gateway) queueAndRun(ctx context.Context, f *forward, req *concurrency.Request) *reply {
+// at-most-once request in the ledger. Movable is set if a request beyond the rate
+// limit of the local upstream runs at another one: then it is no demand here.
+func (g *Gateway) queueAndRun(ctx context.Context, f *forward, req *concurrency.Request, movable bool) *reply {
 	key := f.meta.Key
 	refusal := g.acquire(ctx, req)
 	waited := req.Waited(time.Now())
-	g.demand.OnQueued(f.meta.RootRoute, waited)
+	switch {
+	case !movable:
+		g.demand.OnQueued(f.meta.RootRoute, waited)
+	case refusal == nil:
+		g.countArrival(f)
+	}
 	g.cfg.Metrics.queueTime.Observe(waited.Seconds())
 	if refusal != nil {
 		if key != "" {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -59,8 +59,10 @@
 	Retry                bool    `json:"t,omitempty"` // a retry, or a call made by one
 	LeftMS               int64   `json:"l"`           // time left, milliseconds
 	WaitMS               int64   `json:"w,omitempty"` // longest time in the queue, or for which a view may be awaited, milliseconds
-	Key                  string  `json:"k,omitempty"` // idempotency key; set for an at-most-once request
-	Version              uint64  `json:"v,omitempty"` // version of the sender's active configuration
+	// Elsewhere is set if the sender tries another upstream after a rejection.
+	Elsewhere bool   `json:"z,omitempty"`
+	Key       string `json:"k,omitempty"` // idempotency key; set for an at-most-once request
+	Version   uint64 `json:"v,omitempty"` // version of the sender's active configuration
 	// Sender is the address of the sending node's peer listener.
 	Sender string `json:"h,omitempty"`
 	// Revision and Fingerprint are set in a request for a view: those of the
@@ -93,12 +95,14 @@
 	// ReachedUpstream is set if the upstream may have received the request.
 	ReachedUpstream bool `json:"n,omitempty"`
 	// ServiceUS is the time at the upstream, microseconds.
-	ServiceUS int64  `json:"s,omitempty"`
-	WaitedUS  int64  `json:"w,omitempty"` // time in the queue, microseconds
-	Running   int    `json:"x,omitempty"`
-	Queued    int    `json:"q,omitempty"`
-	Limit     int    `json:"l,omitempty"`
-	Version   uint64 `json:"c,omitempty"` // version of the replying node's active configuration
+	ServiceUS int64 `json:"s,omitempty"`
+	WaitedUS  int64 `json:"w,omitempty"` // time in the queue, microseconds
+	Running   int   `json:"x,omitempty"`
+	Queued    int   `json:"q,omitempty"`
+	Limit     int   `json:"l,omitempty"`
+	// Capacity is set if a rate limit leaves less than Limit.
+	Capacity float64 `json:"y,omitempty"`
+	Version  uint64  `json:"c,omitempty"` // version of the replying node's active configuration
 	// Callers tells who sends the requests of the route.
 	Callers calltree.Callers `json:"e,omitempty"`
 	// Probabilities holds the admission probabilities of routes that the
@@ -121,7 +125,11 @@
 	if m.Limit == 0 {
 		return nil
 	}
-	return &balance.Report{Running: m.Running, Queued: m.Queued, Limit: m.Limit}
+	report := &balance.Report{Running: m.Running, Queued: m.Queued, Capacity: float64(m.Limit)}
+	if m.Capacity > 0 {
+		report.Capacity, report.Limited = m.Capacity, true
+	}
+	return report
 }
 
 func (m *replyMeta) verdict() verdict.Verdict {
--- a/node/gateway/slots.go
+++ b/node/gateway/slots.go
@@ -25,6 +25,38 @@
 		delete(g.waiters, d.Request)
 		w.decided <- d.Refusal
 	}
+	g.scheduleStart()
+}
+
+// minStartDelay bounds how often the limiter is asked for requests to start.
+const minStartDelay = time.Millisecond
+
+// scheduleStart sets the timer that starts the next waiting request if only the
+// rate limit of the upstream holds it back. g.limiterMu must be held.
+func (g *Gateway) scheduleStart() {
+	delay, waiting := g.limiter.NextStart(time.Now())
+	if !waiting {
+		return
+	}
+	delay = max(delay, minStartDelay)
+	if g.startTimer == nil {
+		g.startTimer = time.AfterFunc(delay, func() { g.withLimiter(g.limiter.Expire) })
+		return
+	}
+	g.startTimer.Reset(delay)
+}
+
+// applyRateLimit limits the rate of requests to the local upstream to what it has
+// announced last.
+func (g *Gateway) applyRateLimit() {
+	g.withLimiter(func(now time.Time) []concurrency.Decision {
+		limit := g.announced.limit()
+		g.cfg.Metrics.rateLimit.Set(limit.PerSecond)
+		if limit.Active {
+			return g.limiter.SetRate(now, limit.PerSecond)
+		}
+		return g.limiter.ClearRate(now)
+	})
 }
 
 // acquire waits for a slot of the local upstream. It returns nil once the
@@ -86,5 +118,5 @@
 func (g *Gateway) load() concurrency.Load {
 	g.limiterMu.Lock()
 	defer g.limiterMu.Unlock()
-	return g.limiter.Load()
+	return g.limiter.Load(time.Now())
 }
