gateway: senders pass on the rate limit that they know

A node in front of a limited upstream that is restarted has forgotten the limit until the first answer. While senders had traffic during the stop, the fault did not show: they test the node with one request at a time.

Requests carry the limit that the sender was told; a node that has heard nothing from its upstream takes it over, and its own first answer goes before it.

The restarted nodes log the limit with its source at their first request.

--- a/node/gateway/announcement.go
+++ b/node/gateway/announcement.go
@@ -28,7 +28,7 @@
 		return a
 	}
 	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+	if err != nil || !validRate(rate) {
 		g.cfg.Logger.Debug("rate limit of an upstream ignored", "upstream", id, "value", text)
 		return a
 	}
@@ -78,6 +78,19 @@
 	return l.state
 }
 
+// adopt takes over a rate limit that the upstream with an ID has announced to
+// another node, unless an answer has told this node about the limit. It reports
+// whether it did.
+func (l *localAnnouncements) adopt(id string, perSecond float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.upstream == id && (l.state.Limit.Active || !l.state.LimitAt.IsZero()) {
+		return false
+	}
+	l.upstream, l.state = id, advisory.State{Limit: advisory.Limit{Active: true, PerSecond: perSecond}}
+	return true
+}
+
 // limit returns the rate limit that the local upstream has announced last.
 func (l *localAnnouncements) limit() advisory.Limit {
 	l.mu.Lock()
@@ -103,6 +116,35 @@
 	}
 }
 
+// knownRateLimit returns the rate limit that an upstream has announced in answers
+// that this node passed on, or nil.
+func (g *Gateway) knownRateLimit(u *directory.Upstream) *float64 {
+	limit := g.advisories.State(instanceOf(u)).Limit
+	if !limit.Active {
+		return nil
+	}
+	return &limit.PerSecond
+}
+
+// adoptRateLimit takes over the rate limit of the local upstream from the sender of
+// a request if this node does not know it, because it has just started.
+func (g *Gateway) adoptRateLimit(f *forward) {
+	perSecond := f.meta.RateLimit
+	if perSecond == nil || !validRate(*perSecond) {
+		return
+	}
+	if local := g.localUpstream.Load(); local != nil && local.ID != f.meta.Upstream {
+		return
+	}
+	if g.announced.adopt(f.meta.Upstream, *perSecond) {
+		g.cfg.Logger.Info("upstream rate limit", "upstream", f.meta.Upstream, "active", true, "per_s", *perSecond,
+			"source", f.meta.Sender)
+		g.applyRateLimit()
+	}
+}
+
+func validRate(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 0) }
+
 // onAnswer records what an upstream announces in an answer that this node passes
 // on.
 func (g *Gateway) onAnswer(u *directory.Upstream, r *reply) {
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -257,6 +257,7 @@
 	q.tried[u.ID] = true
 	q.nodesTried++
 	q.routing = routingInputs{upstream: u.ID, score: choice.Score, candidates: choice.Candidates}
+	f.meta.RateLimit = g.knownRateLimit(u)
 	f.meta.Elsewhere = choice.Candidates > 1 && q.nodesTried < maxNodesTried && f.stream == nil
 	if !q.route.Kind.Idempotent() {
 		f.meta.Key = g.keys.newKey()
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -53,6 +53,7 @@
 	if refusal := g.rejectNewWork(f); refusal != nil {
 		return rejected(refusal)
 	}
+	g.adoptRateLimit(f)
 	movable := f.meta.Elsewhere && g.announced.limit().Active
 	if !movable {
 		g.rateShortage.onArrival(time.Now())
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -63,6 +63,10 @@
 	Elsewhere bool   `json:"z,omitempty"`
 	Key       string `json:"k,omitempty"` // idempotency key; set for an at-most-once request
 	Version   uint64 `json:"v,omitempty"` // version of the sender's active configuration
+	// RateLimit is the rate limit that the upstream has announced to the sender,
+	// requests per second; nil for none. A node that has just started does not
+	// know it yet.
+	RateLimit *float64 `json:"b,omitempty"`
 	// Sender is the address of the sending node's peer listener.
 	Sender string `json:"h,omitempty"`
 	// Revision and Fingerprint are set in a request for a view: those of the
