gateway: no requests to an upstream that announces that it leaves

An upstream that leaves says so in its answers; the store may tell later, or an older state. Nodes went on sending it requests until the store's entry changed: on the stand-in, 10 requests after the announcement where none may follow (TestUpstreamThatAnnouncesItsLeaveGetsNoNewRequests, which failed before). They would be cut when the upstream ends.

The announcement holds for one incarnation, at the node in front of the upstream, which refuses new work as not run, and at each node that passed on such an answer, which chooses others. The latter also holds after a restart of the former. An upstream that starts anew is used again (TestUpstreamIsUsedAgainAfterItReturns).

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -247,7 +247,9 @@
 func (g *Gateway) attempt(ctx context.Context, q *request, f *forward) *reply {
 	now := time.Now()
 	list := g.hosts.Load().Service(q.service)
-	choice := g.balancer.Pick(now, list, func(u *directory.Upstream) bool { return q.tried[u.ID] })
+	choice := g.balancer.Pick(now, list, func(u *directory.Upstream) bool {
+		return q.tried[u.ID] || g.advisories.State(instanceOf(u)).Leaving
+	})
 	if choice.Upstream == nil {
 		r := verdict.Refuse(verdict.NoUpstream, "no upstream takes requests")
 		r.RetryAfter = noUpstreamRetryAfter
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -125,6 +125,9 @@
 	if f.meta.Service != g.cfg.Service {
 		return verdict.Refuse(verdict.WrongService, "this host runs "+g.cfg.Service)
 	}
+	if g.announced.current(f.meta.Upstream).Leaving {
+		return verdict.Refuse(verdict.Leaving, "upstream announces that it leaves")
+	}
 	local := g.localUpstream.Load()
 	if local == nil {
 		return nil
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -62,6 +62,13 @@
 // AnnounceLeaving announces on all further responses that the upstream leaves.
 func (b *Backend) AnnounceLeaving() { b.announce("Server-Leaving", "1") }
 
+// StopAnnouncing ends all announcements, as a new start of the upstream does.
+func (b *Backend) StopAnnouncing() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.announced = nil
+}
+
 func (b *Backend) announce(name, value string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
