--- a/node/gateway/announcement.go
+++ b/node/gateway/announcement.go
@@ -100,7 +100,10 @@
 
 // onLocalAnswer records what the local upstream announces in the head of an
 // answer to a request for the upstream with an ID.
-func (g *Gateway) onLocalAnswer(id string, h http.Header) {
+func (g *Gateway) onLocalAnswer(id string, status int, h http.Header) {
+	if status == http.StatusMisdirectedRequest {
+		return // another upstream has answered
+	}
 	if local := g.localUpstream.Load(); local != nil && local.ID != id {
 		return
 	}
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -183,7 +183,7 @@
 		end(0)
 		return classifyUpstreamError(ctx, err)
 	}
-	g.onLocalAnswer(f.meta.Upstream, response.Header)
+	g.onLocalAnswer(f.meta.Upstream, response.Status, response.Header)
 	r := g.readAnswer(response)
 	r.meta.WaitedUS = req.Waited(started).Microseconds()
 	r.meta.ReachedUpstream = true
--- a/node/gateway/outcome_test.go
+++ b/node/gateway/outcome_test.go
@@ -17,6 +17,9 @@
 	return New(Config{
 		Host: "h", Zone: "z", Service: "s", Upstream: netip.MustParseAddrPort("127.0.0.1:9"),
 		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Metrics: NewMetrics(),
+		Headers: HeaderNames{
+			RequestID: "Request-Id", Signature: "Signature", NotExecuted: "Not-Executed", RateLimit: "Rate-Limit", Leaving: "Leaving",
+		},
 	})
 }
 
