discovery: the era of the store in positions and in the log

Nothing showed that the store had been restored, or that a node ignored reads of the list. Positions of the store carry its era; store restored and older list of upstreams ignored are logged. Comparisons are by revision as before.

--- a/cmd/toucangwctl/status_test.go
+++ b/cmd/toucangwctl/status_test.go
@@ -28,7 +28,7 @@
 	require.Contains(t, got.err, "no configuration")
 
 	g.SetRoutes(&routetable.Config{Version: 12})
-	g.SetHosts(directory.NewSnapshot(1, []directory.Upstream{{ID: "i-1"}, {ID: "i-2"}}))
+	g.SetHosts(directory.NewSnapshot(directory.Position{Revision: 1}, []directory.Upstream{{ID: "i-1"}, {ID: "i-2"}}))
 	g.SetLocalUpstream(directory.LocalUpstream{ID: "i-1", Slots: 100})
 	g.StoreCall("config", nil)
 	got = runTool("status", "--node", address)
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -39,8 +39,8 @@
 
 // Snapshot is one immutable view of all upstreams.
 type Snapshot struct {
-	// Revision is the store revision of the view.
-	Revision uint64
+	// Position is that of the store at the time of the view.
+	Position
 	*entries
 }
 
@@ -59,8 +59,8 @@
 // NewSnapshot indexes the entries. Of several entries with one address, the one
 // that started last is used: an address may be reused after its owner has
 // ended.
-func NewSnapshot(revision uint64, upstreams []Upstream) *Snapshot {
-	s := &Snapshot{Revision: revision, entries: &entries{byID: map[string]*Upstream{}, byService: map[string][]*Upstream{}}}
+func NewSnapshot(at Position, upstreams []Upstream) *Snapshot {
+	s := &Snapshot{Position: at, entries: &entries{byID: map[string]*Upstream{}, byService: map[string][]*Upstream{}}}
 	newest := map[netip.AddrPort]*Upstream{}
 	for i := range upstreams {
 		e := &upstreams[i]
@@ -158,7 +158,7 @@
 			merged = append(merged, *u)
 		}
 	}
-	return NewSnapshot(read.Revision, merged)
+	return NewSnapshot(read.Position, merged)
 }
 
 // LocalUpstream is the state of the local upstream according to the store.
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -15,7 +15,7 @@
 // Guards against requests for a service that go to an address which a later
 // upstream of another service has taken over.
 func TestNewestUpstreamOwnsAddress(t *testing.T) {
-	s := NewSnapshot(1, []Upstream{
+	s := NewSnapshot(Position{Revision: 1}, []Upstream{
 		entry("old", "a", "10.0.0.1:80", 100),
 		entry("new", "b", "10.0.0.1:80", 200),
 		entry("other", "a", "10.0.0.2:80", 100),
@@ -29,8 +29,8 @@
 // Guards against losing upstreams whose entries expired while the store was
 // unavailable, and against keeping them indefinitely.
 func TestMergeKeepsMissingEntries(t *testing.T) {
-	old := NewSnapshot(1, []Upstream{entry("x", "a", "10.0.0.1:80", 1), entry("y", "a", "10.0.0.2:80", 1)})
-	read := NewSnapshot(2, []Upstream{entry("x", "a", "10.0.0.1:80", 1)})
+	old := NewSnapshot(Position{Revision: 1}, []Upstream{entry("x", "a", "10.0.0.1:80", 1), entry("y", "a", "10.0.0.2:80", 1)})
+	read := NewSnapshot(Position{Revision: 2}, []Upstream{entry("x", "a", "10.0.0.1:80", 1)})
 	assert.Equal(t, 2, Merge(old, read, true).Len())
 	assert.Equal(t, 1, Merge(old, read, false).Len())
 	assert.Equal(t, 1, Merge(nil, read, true).Len())
--- a/core/directory/readers.go
+++ b/core/directory/readers.go
@@ -97,7 +97,7 @@
 	return s.fingerprint
 }
 
-// AtRevision returns the same entries at another revision.
-func (s *Snapshot) AtRevision(revision uint64) *Snapshot {
-	return &Snapshot{Revision: revision, entries: s.entries}
+// AtPosition returns the same entries at another position.
+func (s *Snapshot) AtPosition(at Position) *Snapshot {
+	return &Snapshot{Position: at, entries: s.entries}
 }
--- a/node/discovery/follow.go
+++ b/node/discovery/follow.go
@@ -32,17 +32,17 @@
 
 // Known identifies what a node knows when it asks another one for its view.
 type Known struct {
-	Version     uint64 // of the configuration
-	Revision    uint64 // of the list of upstreams
-	Fingerprint uint64 // of the list of upstreams
+	Version            uint64 // of the configuration
+	directory.Position        // of the list of upstreams
+	Fingerprint        uint64 // of the list of upstreams
 }
 
 // View is what another node knows.
 type View struct {
 	// Document is its configuration; nil if it is not newer than the one known.
 	Document []byte
-	// Revision is that of its list of upstreams.
-	Revision uint64
+	// Position is that of its list of upstreams.
+	directory.Position
 	// Upstreams is its list; nil if it has the entries known.
 	Upstreams *directory.Snapshot
 	// Age is the time since the store was read for this list.
@@ -182,7 +182,7 @@
 	defer w.mu.Unlock()
 	k := Known{Version: w.version}
 	if w.unmerged != nil {
-		k.Revision, k.Fingerprint = w.unmerged.Revision, w.unmerged.Fingerprint()
+		k.Position, k.Fingerprint = w.unmerged.Position, w.unmerged.Fingerprint()
 	}
 	return k
 }
@@ -192,7 +192,7 @@
 	w.mu.Lock()
 	list := v.Upstreams
 	if list == nil && w.unmerged != nil {
-		list = w.unmerged.AtRevision(max(v.Revision, w.unmerged.Revision))
+		list = w.unmerged.AtPosition(v.Later(w.unmerged.Position))
 	}
 	w.followedAt = time.Now()
 	w.mu.Unlock()
--- a/node/discovery/follow_test.go
+++ b/node/discovery/follow_test.go
@@ -52,7 +52,7 @@
 func (s *sharedStore) list() *directory.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return directory.NewSnapshot(s.revision, append([]directory.Upstream(nil), s.entries...))
+	return directory.NewSnapshot(directory.Position{Revision: s.revision}, append([]directory.Upstream(nil), s.entries...))
 }
 
 // zoneNode is a node of a simulated zone. It is the Source and the Sink of its
@@ -77,23 +77,23 @@
 	return nil
 }
 
-func (n *zoneNode) Config(context.Context, bool) (*routetable.Config, uint64, error) {
+func (n *zoneNode) Config(context.Context, bool) (*routetable.Config, directory.Position, error) {
 	if err := n.call(); err != nil {
-		return nil, 0, err
+		return nil, directory.Position{}, err
 	}
 	c := n.store.config()
-	return c, c.Version, nil
+	return c, directory.Position{Revision: c.Version}, nil
 }
 
-func (n *zoneNode) WatchConfig(ctx context.Context, after uint64, _ time.Duration) (*routetable.Config, uint64, error) {
+func (n *zoneNode) WatchConfig(ctx context.Context, after uint64, _ time.Duration) (*routetable.Config, directory.Position, error) {
 	n.store.calls.Add(1)
 	for !n.cutOff.Load() && ctx.Err() == nil {
 		if c := n.store.config(); c.Version > after {
-			return c, c.Version, nil
+			return c, directory.Position{Revision: c.Version}, nil
 		}
 		time.Sleep(watchPoll)
 	}
-	return nil, 0, errCutOff
+	return nil, directory.Position{}, errCutOff
 }
 
 func (n *zoneNode) Decode(document []byte) (*routetable.Config, error) {
@@ -107,9 +107,9 @@
 	return n.store.list(), nil
 }
 
-func (n *zoneNode) Upstream(ctx context.Context, _ string) (*directory.Upstream, uint64, error) {
+func (n *zoneNode) Upstream(ctx context.Context, _ string) (*directory.Upstream, directory.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, directory.Position{}, ctx.Err()
 }
 
 func (n *zoneNode) WatchUpstream(ctx context.Context, _ string, _ uint64, _ time.Duration) (Change, error) {
@@ -142,7 +142,7 @@
 	if n.routes == nil || n.hosts == nil {
 		return View{}, errors.New("no view yet")
 	}
-	v := View{Revision: n.hosts.Revision, Age: n.watcher.Age()}
+	v := View{Position: n.hosts.Position, Age: n.watcher.Age()}
 	if n.routes.Version > known.Version {
 		v.Document = n.routes.Document
 	}
@@ -303,12 +303,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.linearizable++
-	return directory.NewSnapshot(uint64(s.linearizable), []directory.Upstream{s.entry()}), nil //nolint:gosec // not negative
+	return directory.NewSnapshot(directory.Position{Revision: uint64(s.linearizable)}, []directory.Upstream{s.entry()}), nil //nolint:gosec // not negative
 }
 
-func (s *localSource) Upstream(context.Context, string) (*directory.Upstream, uint64, error) {
+func (s *localSource) Upstream(context.Context, string) (*directory.Upstream, directory.Position, error) {
 	u := s.entry()
-	return &u, 1, nil
+	return &u, directory.Position{Revision: 1}, nil
 }
 
 // localRecorder is a Sink that records whether the local upstream leaves.
--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -74,7 +74,7 @@
 	if after == 0 {
 		err := w.call(ctx, "upstream", callTimeout, func(ctx context.Context) error {
 			u, at, err := w.cfg.Source.Upstream(ctx, id)
-			change = Change{Upstream: u, Revision: at}
+			change = Change{Upstream: u, Position: at}
 			return err
 		})
 		return change, err
@@ -92,7 +92,7 @@
 // what such a read has shown is taken back by a later one. w.mu must be held.
 func (w *Watcher) localChange(read *directory.Snapshot) (id string, change *Change) {
 	id = w.local.ID
-	if id == "" || read.Revision <= w.localRevision {
+	if id == "" || read.Revision <= w.localPosition.Revision {
 		return "", nil
 	}
 	u := read.Get(id)
@@ -100,7 +100,7 @@
 	if leaving == w.local.Draining || !leaving && !w.leavingByList {
 		return "", nil
 	}
-	return id, &Change{Upstream: u, Removed: u == nil, Revision: read.Revision}
+	return id, &Change{Upstream: u, Removed: u == nil, Position: read.Position}
 }
 
 // updateLocal passes the state of the local upstream to the Sink. ByList is set if
@@ -133,7 +133,9 @@
 		local.PreviousIDs[p] = true
 	}
 	w.local = local
-	w.localRevision = max(w.localRevision, change.Revision)
+	if w.localPosition.Revision < change.Revision {
+		w.localPosition = change.Position
+	}
 	w.leavingByList = byList && local.Draining
 	w.mu.Unlock()
 	if changed {
--- a/node/discovery/source.go
+++ b/node/discovery/source.go
@@ -26,19 +26,19 @@
 
 // Source reads the store. Implementations are safe for concurrent use.
 type Source interface {
-	// Config reads the newest configuration and its revision. A stale read is
+	// Config reads the newest configuration and the position of the store. A stale read is
 	// cheaper and may return data that is seconds old.
-	Config(ctx context.Context, stale bool) (*routetable.Config, uint64, error)
+	Config(ctx context.Context, stale bool) (*routetable.Config, directory.Position, error)
 	// WatchConfig waits for a configuration that is newer than a revision. The
 	// configuration is nil if there is none within wait.
-	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (*routetable.Config, uint64, error)
+	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (*routetable.Config, directory.Position, error)
 	// Decode parses a configuration document received from another node.
 	Decode(document []byte) (*routetable.Config, error)
 	// Upstreams reads the entries of all upstreams.
 	Upstreams(ctx context.Context, stale bool) (*directory.Snapshot, error)
-	// Upstream reads one entry and the revision of the store; ErrNotFound if
+	// Upstream reads one entry and the position of the store; ErrNotFound if
 	// there is none.
-	Upstream(ctx context.Context, id string) (*directory.Upstream, uint64, error)
+	Upstream(ctx context.Context, id string) (*directory.Upstream, directory.Position, error)
 	// WatchUpstream waits for a change of one entry after a revision.
 	WatchUpstream(ctx context.Context, id string, after uint64, wait time.Duration) (Change, error)
 }
@@ -49,8 +49,8 @@
 	Upstream *directory.Upstream
 	// Removed is set if the last change removed the entry.
 	Removed bool
-	// Revision from which the next watch continues.
-	Revision uint64
+	// Position from which the next watch continues.
+	directory.Position
 }
 
 // Sink receives what a Watcher reads.
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -88,8 +88,8 @@
 	// outage.
 	unmerged *directory.Snapshot
 	local    directory.LocalUpstream
-	// localRevision is the revision of the store of the last change of local.
-	localRevision uint64
+	// localPosition is that of the store at the last change of local.
+	localPosition directory.Position
 	leavingByList bool // a read of all entries has shown that local leaves
 	previousIDs   map[string]bool
 	lastRead      time.Time // time of the read of the store from which the list is
@@ -97,6 +97,8 @@
 	recovered     time.Time // end of the last outage of the store
 	reachable     bool
 	version       uint64
+	latest        directory.Position // the latest one of a read of the list
+	ignoredAt     time.Time          // when an older read of the list was last logged
 
 	newLocalID chan string // new ID of the local upstream
 	newer      chan newerVersion
@@ -279,7 +281,7 @@
 			c, at, err := w.cfg.Source.Config(ctx, false)
 			if err == nil {
 				w.activate(c, "read")
-				*after = at
+				*after = at.Revision
 			}
 			return err
 		})
@@ -294,7 +296,7 @@
 			// received no events are not skipped.
 			return nil
 		}
-		*after = max(*after, at)
+		*after = max(*after, at.Revision)
 		w.activate(c, "watch")
 		return nil
 	})
@@ -444,7 +446,9 @@
 	if readAt.After(w.lastRead) {
 		w.lastRead = readAt
 	}
+	w.logRestore(read, source)
 	if w.list != nil && read.Revision < w.list.Revision {
+		w.logIgnored(now, read, source)
 		w.mu.Unlock()
 		return // a stale read returned an older revision
 	}
@@ -468,6 +472,27 @@
 	}
 }
 
+// logRestore logs that a read shows that the store was restored from an older copy.
+// w.mu must be held.
+func (w *Watcher) logRestore(read *directory.Snapshot, source string) {
+	if w.latest.Restored(read.Position) {
+		w.cfg.Logger.Warn("store restored", "era", read.Era, "era_before", w.latest.Era,
+			"revision", read.Revision, "revision_before", w.latest.Revision, "source", source)
+	}
+	w.latest = w.latest.Later(read.Position)
+}
+
+// logIgnored logs, at most once a second, that a read is older than the list. w.mu
+// must be held.
+func (w *Watcher) logIgnored(now time.Time, read *directory.Snapshot, source string) {
+	if now.Sub(w.ignoredAt) < time.Second {
+		return
+	}
+	w.ignoredAt = now
+	w.cfg.Logger.Info("older list of upstreams ignored", "revision", read.Revision, "era", read.Era,
+		"revision_known", w.list.Revision, "era_known", w.list.Era, "source", source)
+}
+
 // logChanges logs each upstream that was added, was removed or changed its
 // state.
 func (w *Watcher) logChanges(old, read *directory.Snapshot, source string) {
--- a/node/discovery/watcher_test.go
+++ b/node/discovery/watcher_test.go
@@ -39,29 +39,29 @@
 	return s.filled
 }
 
-func (s *fakeSource) Config(_ context.Context, stale bool) (*routetable.Config, uint64, error) {
+func (s *fakeSource) Config(_ context.Context, stale bool) (*routetable.Config, directory.Position, error) {
 	if !s.read(stale) {
-		return nil, 0, ErrNotFound
+		return nil, directory.Position{}, ErrNotFound
 	}
-	return &routetable.Config{Version: 7}, 1, nil
+	return &routetable.Config{Version: 7}, directory.Position{Revision: 1}, nil
 }
 
-func (s *fakeSource) WatchConfig(ctx context.Context, _ uint64, _ time.Duration) (*routetable.Config, uint64, error) {
+func (s *fakeSource) WatchConfig(ctx context.Context, _ uint64, _ time.Duration) (*routetable.Config, directory.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, directory.Position{}, ctx.Err()
 }
 
 func (s *fakeSource) Decode([]byte) (*routetable.Config, error) { return nil, errors.New("no node") }
 
 func (s *fakeSource) Upstreams(_ context.Context, stale bool) (*directory.Snapshot, error) {
 	if !s.read(stale) {
-		return directory.NewSnapshot(1, nil), nil
+		return directory.NewSnapshot(directory.Position{Revision: 1}, nil), nil
 	}
-	return directory.NewSnapshot(2, []directory.Upstream{s.upstream}), nil
+	return directory.NewSnapshot(directory.Position{Revision: 2}, []directory.Upstream{s.upstream}), nil
 }
 
-func (s *fakeSource) Upstream(context.Context, string) (*directory.Upstream, uint64, error) {
-	return nil, 0, ErrNotFound
+func (s *fakeSource) Upstream(context.Context, string) (*directory.Upstream, directory.Position, error) {
+	return nil, directory.Position{}, ErrNotFound
 }
 
 func (s *fakeSource) WatchUpstream(ctx context.Context, _ string, _ uint64, _ time.Duration) (Change, error) {
@@ -129,7 +129,7 @@
 
 func (s *restartSource) Upstreams(ctx context.Context, stale bool) (*directory.Snapshot, error) {
 	if stale {
-		return directory.NewSnapshot(1, []directory.Upstream{s.left}), nil
+		return directory.NewSnapshot(directory.Position{Revision: 1}, []directory.Upstream{s.left}), nil
 	}
 	if time.Now().Before(s.failUntil) {
 		return nil, errors.New("busy")
@@ -203,7 +203,7 @@
 	configs, lists atomic.Int32
 }
 
-func (s *panickingSource) Config(ctx context.Context, stale bool) (*routetable.Config, uint64, error) {
+func (s *panickingSource) Config(ctx context.Context, stale bool) (*routetable.Config, directory.Position, error) {
 	if s.configs.Add(1) <= 2 {
 		panic("malformed configuration")
 	}
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -69,8 +69,9 @@
 	RateLimit *float64 `json:"b,omitempty"`
 	// Sender is the address of the sending node's peer listener.
 	Sender string `json:"h,omitempty"`
-	// Revision and Fingerprint are set in a request for a view: those of the
+	// Era, Revision and Fingerprint are set in a request for a view: those of the
 	// sender's list of upstreams.
+	Era         uint64 `json:"y,omitempty"`
 	Revision    uint64 `json:"m,omitempty"`
 	Fingerprint uint64 `json:"g,omitempty"`
 	// AgeMS is set in a query of an outcome: the time since the request was
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -18,7 +18,8 @@
 type peerView struct {
 	// Document is the active configuration; absent if the asking node has it.
 	Document []byte `json:"document,omitempty"`
-	// Revision is the revision of the store at which the upstreams were read.
+	// Era and Revision are those of the store when the upstreams were read.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Upstreams is absent if Same is set: the asking node has the same entries.
 	Upstreams []directory.Upstream `json:"upstreams"`
@@ -27,6 +28,10 @@
 	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
+func (v *peerView) position() directory.Position {
+	return directory.Position{Era: v.Era, Revision: v.Revision}
+}
+
 // changeSignal wakes those that wait for a newer view. It is safe for concurrent
 // use.
 type changeSignal struct {
@@ -92,7 +97,7 @@
 }
 
 func (g *Gateway) viewFor(known *forwardMeta, c *routetable.Config, hosts *directory.Snapshot) *peerView {
-	view := &peerView{Revision: hosts.Revision, AgeMS: g.listAge().Milliseconds()}
+	view := &peerView{Era: hosts.Era, Revision: hosts.Revision, AgeMS: g.listAge().Milliseconds()}
 	if c.Version > known.Version {
 		view.Document = c.Document
 	}
@@ -112,21 +117,21 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return view.Document, directory.NewSnapshot(view.Revision, view.Upstreams), nil
+	return view.Document, directory.NewSnapshot(view.position(), view.Upstreams), nil
 }
 
 // Follow returns the view of the node in front of an upstream once it is newer
 // than what is known, or after wait.
 func (g *Gateway) Follow(ctx context.Context, reader *directory.Upstream, known discovery.Known, wait time.Duration) (discovery.View, error) {
 	view, err := g.fetchView(ctx, g.peerAddress(reader), &forwardMeta{
-		Version: known.Version, Revision: known.Revision, Fingerprint: known.Fingerprint, WaitMS: wait.Milliseconds(),
+		Version: known.Version, Era: known.Era, Revision: known.Revision, Fingerprint: known.Fingerprint, WaitMS: wait.Milliseconds(),
 	})
 	if err != nil {
 		return discovery.View{}, err
 	}
-	out := discovery.View{Document: view.Document, Revision: view.Revision, Age: time.Duration(view.AgeMS) * time.Millisecond}
+	out := discovery.View{Document: view.Document, Position: view.position(), Age: time.Duration(view.AgeMS) * time.Millisecond}
 	if !view.Same {
-		out.Upstreams = directory.NewSnapshot(view.Revision, view.Upstreams)
+		out.Upstreams = directory.NewSnapshot(view.position(), view.Upstreams)
 	}
 	return out, nil
 }
