--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -53,6 +54,7 @@
 	history  []event
 	oldest   uint64 // oldest revision after which a watch can start
 	revision uint64
+	era      uint64        // rises with each Restore
 	changed  chan struct{} // closed on the next change
 	faults   Faults
 	calls    map[string]int
@@ -61,7 +63,7 @@
 // New returns an empty store with pages of pageSize items.
 func New(pageSize int) *Store {
 	return &Store{
-		pageSize: pageSize, items: map[string]item{}, revision: 1, oldest: 1,
+		pageSize: pageSize, items: map[string]item{}, revision: 1, oldest: 1, era: 1,
 		changed: make(chan struct{}), calls: map[string]int{},
 	}
 }
@@ -106,6 +108,30 @@
 	s.changed = make(chan struct{})
 }
 
+// Copy is a state of the store for Restore.
+type Copy struct {
+	items    map[string]item
+	revision uint64
+}
+
+// Copy returns the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// Restore replaces the state by an older one: what was written since is lost, and
+// its revisions are given out again. Watches from a later revision get 410.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision, s.oldest, s.history = maps.Clone(c.items), c.revision, c.revision, nil
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetFaults replaces all current faults.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -131,6 +157,7 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	faults := s.faults
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if faults.Unresponsive {
 		<-r.Context().Done()
@@ -239,7 +266,7 @@
 func (s *Store) eventsAfter(prefix string, after uint64) (events []event, revision uint64, compacted bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.oldest {
+	if after < s.oldest || after > s.revision {
 		return nil, s.revision, true, nil
 	}
 	events = []event{}
