discovery, gateway: order reads of the store by its era, then by revision

Cause: a node took the order of revisions for the order of time. After the restore each read of the list had a lower revision than the one known and was ignored as a late stale read, so that upstreams that joined were unknown and those that left stayed, until the lost revisions were made up for. The same comparison stood in the read of the local upstream's entry from the list and in the views that readers give to their followers.

Positions are compared by era first. After a restore, entries that the copy lacks are kept for the time in which they are written again, as after an outage.

--- a/node/discovery/follow_test.go
+++ b/node/discovery/follow_test.go
@@ -23,6 +23,7 @@
 	calls atomic.Int64
 
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	version  uint64
 	entries  []directory.Upstream
@@ -43,6 +44,15 @@
 	return s.version, s.entries[last].ID
 }
 
+// restore starts a new era with the same entries, in which revisions are given out
+// again.
+func (s *sharedStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision = 1
+}
+
 func (s *sharedStore) config() *routetable.Config {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,7 +62,7 @@
 func (s *sharedStore) list() *directory.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return directory.NewSnapshot(directory.Position{Revision: s.revision}, append([]directory.Upstream(nil), s.entries...))
+	return directory.NewSnapshot(directory.Position{Era: s.era, Revision: s.revision}, append([]directory.Upstream(nil), s.entries...))
 }
 
 // zoneNode is a node of a simulated zone. It is the Source and the Sink of its
@@ -261,6 +271,9 @@
 	}
 	version, id = z.store.change()
 	z.await(version, id, "after an outage of the store")
+	z.store.restore()
+	version, id = z.store.change()
+	z.await(version, id, "after the store was restored from an older copy")
 }
 
 // Guards against readers that differ from node to node, all in a row of
@@ -277,7 +290,7 @@
 }
 
 func newStore(size int) *sharedStore {
-	s := &sharedStore{revision: 1, version: 1}
+	s := &sharedStore{revision: 1, era: 1, version: 1}
 	for i := range size {
 		s.entries = append(s.entries, directory.Upstream{
 			ID: fmt.Sprintf("i-%d", i), Service: "s", Zone: "z", Slots: 1,
--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -92,7 +92,7 @@
 // what such a read has shown is taken back by a later one. w.mu must be held.
 func (w *Watcher) localChange(read *directory.Snapshot) (id string, change *Change) {
 	id = w.local.ID
-	if id == "" || read.Revision <= w.localPosition.Revision {
+	if id == "" || !w.localPosition.Before(read.Position) {
 		return "", nil
 	}
 	u := read.Get(id)
@@ -133,9 +133,7 @@
 		local.PreviousIDs[p] = true
 	}
 	w.local = local
-	if w.localPosition.Revision < change.Revision {
-		w.localPosition = change.Position
-	}
+	w.localPosition = w.localPosition.Later(change.Position)
 	w.leavingByList = byList && local.Draining
 	w.mu.Unlock()
 	if changed {
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -446,11 +446,15 @@
 	if readAt.After(w.lastRead) {
 		w.lastRead = readAt
 	}
-	w.logRestore(read, source)
-	if w.list != nil && read.Revision < w.list.Revision {
+	if w.latest.Restored(read.Position) {
+		w.logRestore(read, source)
+		w.recovered = now // what was written since the copy is written again
+	}
+	w.latest = w.latest.Later(read.Position)
+	if w.list != nil && read.Before(w.list.Position) {
 		w.logIgnored(now, read, source)
 		w.mu.Unlock()
-		return // a stale read returned an older revision
+		return // a stale read returned an older state
 	}
 	keep := !w.recovered.IsZero() && now.Sub(w.recovered) < reregisterTime
 	w.logChanges(w.list, read, source)
@@ -475,11 +479,8 @@
 // logRestore logs that a read shows that the store was restored from an older copy.
 // w.mu must be held.
 func (w *Watcher) logRestore(read *directory.Snapshot, source string) {
-	if w.latest.Restored(read.Position) {
-		w.cfg.Logger.Warn("store restored", "era", read.Era, "era_before", w.latest.Era,
-			"revision", read.Revision, "revision_before", w.latest.Revision, "source", source)
-	}
-	w.latest = w.latest.Later(read.Position)
+	w.cfg.Logger.Warn("store restored", "era", read.Era, "era_before", w.latest.Era,
+		"revision", read.Revision, "revision_before", w.latest.Revision, "source", source)
 }
 
 // logIgnored logs, at most once a second, that a read is older than the list. w.mu
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -93,7 +93,8 @@
 
 // hasNews reports whether a node with the given knowledge lacks something.
 func hasNews(known *forwardMeta, c *routetable.Config, hosts *directory.Snapshot) bool {
-	return c.Version > known.Version || hosts.Revision >= known.Revision && hosts.Fingerprint() != known.Fingerprint
+	at := directory.Position{Era: known.Era, Revision: known.Revision}
+	return c.Version > known.Version || !hosts.Before(at) && hosts.Fingerprint() != known.Fingerprint
 }
 
 func (g *Gateway) viewFor(known *forwardMeta, c *routetable.Config, hosts *directory.Snapshot) *peerView {
