discovery: entries of a restored store do not bring back what drains or has left

Once lists are ordered by era, the copy from which the store was restored is taken for the present: an upstream that had reported draining, or had left, was ready again at the nodes that knew better, and got requests (TestRestoredStoreDoesNotEndADrain: front and the node in front of the upstream both sent requests to it for the whole 3 s after the restore). The entry of the local upstream had this fault before, as it is read again after each error.

directory.History remembers the newest entry of each upstream. For 10 s after a restore an entry counts only if it was written after the one known: a later start, or a higher sequence number in the same incarnation. An entry that the restore has lost is not gone: it is kept and counts when it is written again unchanged (TestUpstreamLostInARestoreIsUsed, TestEntriesLostInARestoreAreNotGone).

--- /dev/null
+++ b/core/directory/history.go
@@ -0,0 +1,95 @@
+package directory
+
+import "time"
+
+const (
+	// copyTime is how long after a restore of the store its entries may be those of
+	// the older copy. Entries of upstreams that do not renew them expire within it.
+	copyTime = 10 * time.Second
+	// goneTime is how long an upstream that has left is remembered. It exceeds the
+	// age of a copy from which the store is restored.
+	goneTime = time.Minute
+)
+
+// History remembers the newest known entry of each upstream, so that a store that
+// was restored from an older copy does not bring back upstreams that have left or
+// that drain. It is not safe for concurrent use.
+type History struct {
+	known      map[string]*knownEntry // by ID
+	restoredAt time.Time
+}
+
+type knownEntry struct {
+	upstream Upstream
+	at       Position
+	gone     bool
+	seenAt   time.Time
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{known: map[string]*knownEntry{}} }
+
+// OnRestore records that the store was restored.
+func (h *History) OnRestore(now time.Time) { h.restoredAt = now }
+
+// Reconcile records a read and returns it without what is older than known.
+func (h *History) Reconcile(now time.Time, read *Snapshot) *Snapshot {
+	current := make([]Upstream, 0, read.Len())
+	changed := false
+	for _, u := range read.byID {
+		if k := h.Newer(now, u, read.Position); k != nil {
+			changed = true
+			if k.gone {
+				continue
+			}
+			u = &k.upstream
+		}
+		current = append(current, *u)
+	}
+	h.forget(now, read)
+	if !changed {
+		return read
+	}
+	return NewSnapshot(read.Position, current)
+}
+
+// Newer returns the known entry that is newer than an entry read at a position, or
+// nil, in which case the entry is recorded.
+func (h *History) Newer(now time.Time, u *Upstream, at Position) *knownEntry {
+	k := h.known[u.ID]
+	if k != nil && now.Sub(h.restoredAt) < copyTime && k.at.Restored(at) && !k.olderThan(u) {
+		k.seenAt = now
+		return k
+	}
+	if k == nil {
+		k = &knownEntry{}
+		h.known[u.ID] = k
+	}
+	*k = knownEntry{upstream: *u, at: at, seenAt: now}
+	return nil
+}
+
+// olderThan reports whether an entry was written after the known one.
+func (k *knownEntry) olderThan(u *Upstream) bool {
+	if !k.upstream.StartedAt.Equal(u.StartedAt) {
+		return k.upstream.StartedAt.Before(u.StartedAt)
+	}
+	return k.upstream.Sequence < u.Sequence
+}
+
+// forget marks the upstreams that a read no longer has as gone, and drops those that
+// have been missing for goneTime. An entry that a restore has lost is not gone: it
+// is written again.
+func (h *History) forget(now time.Time, read *Snapshot) {
+	for id, k := range h.known {
+		if read.byID[id] != nil {
+			continue
+		}
+		if !k.at.Restored(read.Position) {
+			k.gone = true
+		}
+		if now.Sub(k.seenAt) > goneTime {
+			delete(h.known, id)
+		}
+	}
+}
--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -38,7 +38,7 @@
 			after = 0
 		case errors.Is(err, ErrNotFound):
 			after = 0
-			w.updateLocal(id, Change{Removed: true}, false)
+			w.updateLocal(id, Change{Removed: true, Position: change.Position}, false)
 			pause(ctx, initialPoll)
 		default:
 			after = 0
@@ -109,11 +109,17 @@
 	if change.Upstream == nil && !change.Removed {
 		return
 	}
+	now := time.Now()
 	w.mu.Lock()
-	if change.Removed && time.Since(w.recovered) < reregisterTime {
+	w.notePosition(now, change.Position, "entry of the local upstream")
+	if change.Removed && now.Sub(w.recovered) < reregisterTime {
 		w.mu.Unlock()
 		return // it expired during an outage of the store and may be registered again
 	}
+	if u := change.Upstream; u != nil && !byList && w.history.Newer(now, u, change.Position) != nil {
+		w.mu.Unlock()
+		return // it is from the copy from which the store was restored
+	}
 	before := w.local
 	if before.ID != "" && before.ID != id {
 		w.previousIDs[before.ID] = true
--- a/node/discovery/source.go
+++ b/node/discovery/source.go
@@ -36,8 +36,8 @@
 	Decode(document []byte) (*routetable.Config, error)
 	// Upstreams reads the entries of all upstreams.
 	Upstreams(ctx context.Context, stale bool) (*directory.Snapshot, error)
-	// Upstream reads one entry and the position of the store; ErrNotFound if
-	// there is none.
+	// Upstream reads one entry and the position of the store; ErrNotFound and the
+	// era if there is none.
 	Upstream(ctx context.Context, id string) (*directory.Upstream, directory.Position, error)
 	// WatchUpstream waits for a change of one entry after a revision.
 	WatchUpstream(ctx context.Context, id string, after uint64, wait time.Duration) (Change, error)
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -84,8 +84,8 @@
 
 	mu   sync.Mutex
 	list *directory.Snapshot
-	// unmerged is the newest read of list, without entries kept from before an
-	// outage.
+	// unmerged is the newest read of list as it was received, also if it was older
+	// than what is known of some upstreams.
 	unmerged *directory.Snapshot
 	local    directory.LocalUpstream
 	// localPosition is that of the store at the last change of local.
@@ -97,8 +97,9 @@
 	recovered     time.Time // end of the last outage of the store
 	reachable     bool
 	version       uint64
-	latest        directory.Position // the latest one of a read of the list
-	ignoredAt     time.Time          // when an older read of the list was last logged
+	latest        directory.Position // the latest one of a read of the store
+	history       *directory.History
+	ignoredAt     time.Time // when an older read of the list was last logged
 
 	newLocalID chan string // new ID of the local upstream
 	newer      chan newerVersion
@@ -106,7 +107,7 @@
 
 // New returns a Watcher. Run starts it.
 func New(cfg Config) *Watcher {
-	return &Watcher{cfg: cfg, previousIDs: map[string]bool{}, newLocalID: make(chan string, 1), newer: make(chan newerVersion, 1)}
+	return &Watcher{cfg: cfg, previousIDs: map[string]bool{}, history: directory.NewHistory(), newLocalID: make(chan string, 1), newer: make(chan newerVersion, 1)}
 }
 
 // Run reads the store until ctx ends.
@@ -446,23 +447,20 @@
 	if readAt.After(w.lastRead) {
 		w.lastRead = readAt
 	}
-	if w.latest.Restored(read.Position) {
-		w.logRestore(read, source)
-		w.recovered = now // what was written since the copy is written again
-	}
-	w.latest = w.latest.Later(read.Position)
+	w.notePosition(now, read.Position, source)
 	if w.list != nil && read.Before(w.list.Position) {
 		w.logIgnored(now, read, source)
 		w.mu.Unlock()
 		return // a stale read returned an older state
 	}
+	current := w.history.Reconcile(now, read)
 	keep := !w.recovered.IsZero() && now.Sub(w.recovered) < reregisterTime
-	w.logChanges(w.list, read, source)
-	w.list = directory.Merge(w.list, read, keep)
+	w.logChanges(w.list, current, source)
+	w.list = directory.Merge(w.list, current, keep)
 	w.unmerged = read
 	list := w.list
 	local := w.findLocal(list)
-	id, change := w.localChange(read)
+	id, change := w.localChange(current)
 	w.mu.Unlock()
 	w.cfg.Sink.SetHosts(list)
 	if change != nil {
@@ -476,11 +474,17 @@
 	}
 }
 
-// logRestore logs that a read shows that the store was restored from an older copy.
-// w.mu must be held.
-func (w *Watcher) logRestore(read *directory.Snapshot, source string) {
-	w.cfg.Logger.Warn("store restored", "era", read.Era, "era_before", w.latest.Era,
-		"revision", read.Revision, "revision_before", w.latest.Revision, "source", source)
+// notePosition notices at a read that the store was restored from an older copy. What
+// was written since the copy is written again, as after an outage. w.mu must be
+// held.
+func (w *Watcher) notePosition(now time.Time, at directory.Position, source string) {
+	if w.latest.Restored(at) {
+		w.cfg.Logger.Warn("store restored", "era", at.Era, "era_before", w.latest.Era,
+			"revision", at.Revision, "revision_before", w.latest.Revision, "source", source)
+		w.recovered = now
+		w.history.OnRestore(now)
+	}
+	w.latest = w.latest.Later(at)
 }
 
 // logIgnored logs, at most once a second, that a read is older than the list. w.mu
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -82,6 +82,13 @@
 	return s.revision
 }
 
+// Value returns the value of an item; nil if there is none.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // Delete removes an item.
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
