discovery: a watch that crosses a restore is followed by a read

A watch went on from the larger of two revisions. If it outlives a restore (the store is away only for a moment), it continued from a revision of before, which the store gives out again: what is written between is skipped, and the watches of the configuration and of the local upstream's entry stay behind until the next error.

--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -21,7 +21,7 @@
 // watchLocal watches the entry of the local upstream.
 func (w *Watcher) watchLocal(ctx context.Context) {
 	var id string
-	var after uint64
+	var after directory.Position
 	var wait backoff
 	for ctx.Err() == nil {
 		id, after = w.localID(ctx, id, after)
@@ -32,16 +32,16 @@
 		switch {
 		case err == nil:
 			wait.reset()
-			after = change.Revision
+			after = nextWatch(after, change.Position)
 			w.updateLocal(id, change, false)
 		case errors.Is(err, ErrHistoryGone):
-			after = 0
+			after = directory.Position{}
 		case errors.Is(err, ErrNotFound):
-			after = 0
+			after = directory.Position{}
 			w.updateLocal(id, Change{Removed: true, Position: change.Position}, false)
 			pause(ctx, initialPoll)
 		default:
-			after = 0
+			after = directory.Position{}
 			pause(ctx, wait.next())
 		}
 	}
@@ -50,28 +50,28 @@
 // localID returns the ID to watch and the revision to watch from: those of a
 // new local upstream if one was found, and the given ones otherwise. If there is
 // no ID yet, it waits for one.
-func (w *Watcher) localID(ctx context.Context, id string, after uint64) (string, uint64) {
+func (w *Watcher) localID(ctx context.Context, id string, after directory.Position) (string, directory.Position) {
 	if id != "" {
 		select {
 		case next := <-w.newLocalID:
-			return next, 0
+			return next, directory.Position{}
 		default:
 			return id, after
 		}
 	}
 	select {
 	case next := <-w.newLocalID:
-		return next, 0
+		return next, directory.Position{}
 	case <-ctx.Done():
-		return "", 0
+		return "", directory.Position{}
 	}
 }
 
 // readLocal reads the entry if the last revision is unknown, and watches for its
 // next change otherwise.
-func (w *Watcher) readLocal(ctx context.Context, id string, after uint64) (Change, error) {
+func (w *Watcher) readLocal(ctx context.Context, id string, after directory.Position) (Change, error) {
 	var change Change
-	if after == 0 {
+	if after.Revision == 0 {
 		err := w.call(ctx, "upstream", callTimeout, func(ctx context.Context) error {
 			u, at, err := w.cfg.Source.Upstream(ctx, id)
 			change = Change{Upstream: u, Position: at}
@@ -81,7 +81,7 @@
 	}
 	err := w.call(ctx, "upstream-watch", localWatchTime+callTimeout, func(ctx context.Context) error {
 		var err error
-		change, err = w.cfg.Source.WatchUpstream(ctx, id, after, localWatchTime)
+		change, err = w.cfg.Source.WatchUpstream(ctx, id, after.Revision, localWatchTime)
 		return err
 	})
 	return change, err
--- a/node/discovery/watcher.go
+++ b/node/discovery/watcher.go
@@ -225,13 +225,13 @@
 // watchConfig reads the configuration and then watches for newer versions. After
 // an error it starts again with a read, so that the newest version is not missed.
 func (w *Watcher) watchConfig(ctx context.Context) {
-	var after uint64
+	var after directory.Position
 	var wait backoff
 	first := true
 	for ctx.Err() == nil {
 		if w.following() {
 			w.awaitReading(ctx)
-			after = 0 // versions may have been published meanwhile
+			after = directory.Position{} // versions may have been published meanwhile
 			continue
 		}
 		err := w.readConfig(ctx, &after)
@@ -243,10 +243,10 @@
 			}
 			first = false
 		case errors.Is(err, ErrNotFound):
-			after = 0
+			after = directory.Position{}
 			w.awaitConfig(ctx)
 		default:
-			after = 0
+			after = directory.Position{}
 			pause(ctx, wait.next())
 		}
 	}
@@ -276,33 +276,46 @@
 
 // readConfig reads the configuration if the last revision is unknown, and
 // watches for the next version otherwise.
-func (w *Watcher) readConfig(ctx context.Context, after *uint64) error {
-	if *after == 0 {
+func (w *Watcher) readConfig(ctx context.Context, after *directory.Position) error {
+	if after.Revision == 0 {
 		return w.call(ctx, "config", callTimeout, func(ctx context.Context) error {
 			c, at, err := w.cfg.Source.Config(ctx, false)
 			if err == nil {
 				w.activate(c, "read")
-				*after = at.Revision
+				*after = at
 			}
 			return err
 		})
 	}
 	return w.call(ctx, "config-watch", configWatchTime+callTimeout, func(ctx context.Context) error {
-		c, at, err := w.cfg.Source.WatchConfig(ctx, *after, configWatchTime)
+		c, at, err := w.cfg.Source.WatchConfig(ctx, after.Revision, configWatchTime)
 		if err != nil {
 			return err
 		}
-		if c == nil {
+		if c == nil && !after.Restored(at) {
 			// Keep the revision, so that versions published while the watch
 			// received no events are not skipped.
 			return nil
 		}
-		*after = max(*after, at.Revision)
+		*after = nextWatch(*after, at)
+		if c == nil {
+			return nil
+		}
 		w.activate(c, "watch")
 		return nil
 	})
 }
 
+// nextWatch returns the position from which a watch continues after a response. It
+// is zero, so that a read comes first, if the store was restored in between: the
+// revisions since the copy are given out again.
+func nextWatch(after, at directory.Position) directory.Position {
+	if after.Restored(at) {
+		return directory.Position{}
+	}
+	return after.Later(at)
+}
+
 // pollConfig reads the configuration in addition to the watch: mostly with
 // stale reads, and occasionally with a linearizable one. All nodes together
 // make about clusterReadsPerSecond linearizable reads per second, independent of
--- a/node/discovery/watcher_test.go
+++ b/node/discovery/watcher_test.go
@@ -227,3 +227,29 @@
 	assert.Eventually(t, sink.complete, 5*time.Second, 10*time.Millisecond)
 	assert.GreaterOrEqual(t, panics.Load(), int32(2))
 }
+
+// crossingSource is a store whose watches of the configuration and of an entry end
+// without news after it was restored from an older copy.
+type crossingSource struct{ fakeSource }
+
+func (s *crossingSource) WatchConfig(context.Context, uint64, time.Duration) (*routetable.Config, directory.Position, error) {
+	return nil, directory.Position{Era: 2, Revision: 25}, nil
+}
+
+func (s *crossingSource) WatchUpstream(context.Context, string, uint64, time.Duration) (Change, error) {
+	return Change{Position: directory.Position{Era: 2, Revision: 25}}, nil
+}
+
+// Guards against a watch that goes on from a revision of before a restore, which the store gives out again.
+func TestWatchThatCrossesARestoreIsFollowedByARead(t *testing.T) {
+	w := newWatcher(Config{Source: &crossingSource{}, Sink: &recorder{}})
+	after := directory.Position{Era: 1, Revision: 40}
+	require.NoError(t, w.readConfig(t.Context(), &after))
+	assert.Equal(t, directory.Position{}, after)
+	before := directory.Position{Era: 1, Revision: 40}
+	change, err := w.readLocal(t.Context(), "i", before)
+	require.NoError(t, err)
+	assert.Equal(t, directory.Position{}, nextWatch(before, change.Position))
+	assert.Equal(t, directory.Position{Era: 1, Revision: 41}, nextWatch(before, directory.Position{Era: 1, Revision: 41}))
+	assert.Equal(t, before, nextWatch(before, directory.Position{Era: 1, Revision: 39}))
+}
