discovery: the simulated zone gives each upstream an ID of its own

TestReadersServeTheirZone failed in one of six runs side by side, at the step after the restore. Traced: the simulated store named new upstreams by its revision, so that the one after the restore had the ID, start and sequence number of one that had left before it. Such an entry is one of the copy and is ignored on purpose for 10 s (TestOlderEntriesOfARestoredStoreAreIgnored); whether it was still listed depended on the time. Names now follow the version, which never repeats.

--- a/node/discovery/follow_test.go
+++ b/node/discovery/follow_test.go
@@ -40,7 +40,7 @@
 	s.revision++
 	s.version++
 	last := len(s.entries) - 1
-	s.entries[last].ID = fmt.Sprintf("new-%d", s.revision)
+	s.entries[last].ID = fmt.Sprintf("new-%d", s.version)
 	return s.version, s.entries[last].ID
 }
 
