gateway: a rate limit bounds the admission only after requests that found no other upstream

For a second after an upstream had announced a limit, requests that had arrived before it counted as having nowhere else to go, so that its small capacity shed clients' requests although another upstream had room: 155 of 1,011 refused on the stand-in (TestRateLimitOfOneUpstreamShedsNoRequests, which failed with that figure). Only requests that arrive while the limit holds count now.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -54,9 +54,12 @@
 		return rejected(refusal)
 	}
 	g.adoptRateLimit(f)
-	movable := f.meta.Elsewhere && g.announced.limit().Active
-	if !movable {
+	limited := g.announced.limit().Active
+	if limited && !f.meta.Elsewhere {
 		g.rateShortage.onArrival(time.Now())
+	}
+	movable := limited && f.meta.Elsewhere
+	if !movable {
 		g.countArrival(f)
 	}
 	key := f.meta.Key
