directory: the history of entries answers whether an entry counts

The exported method returned an internal record; it answers yes or no now, and the condition that an entry may be one of the copy has a name. The stand-in store puts the era of the time of the response on each response, also on those of a watch that outlived a restore.

--- a/core/directory/history.go
+++ b/core/directory/history.go
@@ -37,8 +37,9 @@
 	current := make([]Upstream, 0, read.Len())
 	changed := false
 	for _, u := range read.byID {
-		if k := h.Newer(now, u, read.Position); k != nil {
+		if !h.Observe(now, u, read.Position) {
 			changed = true
+			k := h.known[u.ID]
 			if k.gone {
 				continue
 			}
@@ -53,23 +54,28 @@
 	return NewSnapshot(read.Position, current)
 }
 
-// Newer returns the known entry that is newer than an entry read at a position, or
-// nil, in which case the entry is recorded.
-func (h *History) Newer(now time.Time, u *Upstream, at Position) *knownEntry {
+// Observe reports whether an entry read at a position is the newest one known of its
+// upstream, and records it if so.
+func (h *History) Observe(now time.Time, u *Upstream, at Position) bool {
 	k := h.known[u.ID]
-	if k != nil && now.Sub(h.restoredAt) < copyTime && k.at.Restored(at) && !k.olderThan(u) {
-		k.seenAt = now
-		return k
-	}
 	if k == nil {
 		k = &knownEntry{}
 		h.known[u.ID] = k
+	} else if h.fromCopy(now, at, k) && !k.olderThan(u) {
+		k.seenAt = now
+		return false
 	}
 	*k = knownEntry{upstream: *u, at: at, seenAt: now}
-	return nil
+	return true
+}
+
+// fromCopy reports whether an entry read at a position may be one of the copy from
+// which the store was restored after the known entry was read.
+func (h *History) fromCopy(now time.Time, at Position, k *knownEntry) bool {
+	return now.Sub(h.restoredAt) < copyTime && k.at.Restored(at)
 }
 
-// olderThan reports whether an entry was written after the known one.
+// olderThan reports whether the known entry was written before another one.
 func (k *knownEntry) olderThan(u *Upstream) bool {
 	if !k.upstream.StartedAt.Equal(u.StartedAt) {
 		return k.upstream.StartedAt.Before(u.StartedAt)
--- a/node/discovery/local.go
+++ b/node/discovery/local.go
@@ -116,7 +116,7 @@
 		w.mu.Unlock()
 		return // it expired during an outage of the store and may be registered again
 	}
-	if u := change.Upstream; u != nil && !byList && w.history.Newer(now, u, change.Position) != nil {
+	if u := change.Upstream; u != nil && !byList && !w.history.Observe(now, u, change.Position) {
 		w.mu.Unlock()
 		return // it is from the copy from which the store was restored
 	}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -164,7 +164,6 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	faults := s.faults
-	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if faults.Unresponsive {
 		<-r.Context().Done()
@@ -175,6 +174,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	w = &eraWriter{ResponseWriter: w, store: s}
 	if faults.Status != 0 {
 		w.WriteHeader(faults.Status)
 		return
@@ -191,6 +191,32 @@
 	}
 }
 
+// eraWriter puts the era at the time of the response on it.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+func (w *eraWriter) setEra() {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(w.store.era, 10))
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.setEra()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(data []byte) (int, error) {
+	if w.Header().Get("Store-Era") == "" {
+		w.setEra()
+	}
+	return w.ResponseWriter.Write(data)
+}
+
 // view returns the items visible to a read. s.mu must be held.
 func (s *Store) view(r *http.Request) map[string]item {
 	if s.faults.Stale && r.URL.Query().Get("stale-ok") == "1" {
