gateway: announcements in a file of their own; a limit does not end a leave

The code of announcements and that of the rate limit are split by job. Found while reading: a limit taken over from a sender replaced the whole state, so that an announced leave was forgotten, and the limit of a former upstream stayed until the next read of the store.

--- a/node/gateway/announcement_test.go
+++ b/node/gateway/announcement_test.go
@@ -51,3 +51,17 @@
 	assert.Equal(t, advisory.State{}, g.announced.current("own"))
 	assert.Equal(t, float64(g.load().Limit), g.load().Capacity)
 }
+
+// Guards against a limit taken over from a sender that replaces what the upstream itself has announced.
+func TestOwnAnnouncementsGoBeforeThoseOfSenders(t *testing.T) {
+	var l localAnnouncements
+	now := time.Unix(1_700_000_000, 0)
+	l.record(now, "own", advisory.Announcement{Leaving: true})
+	assert.True(t, l.adopt("own", 3))
+	assert.True(t, l.current("own").Leaving, "a limit does not end the leave")
+	l.record(now, "own", advisory.Announcement{Limit: &advisory.Limit{}})
+	assert.False(t, l.adopt("own", 3), "the upstream has said that it has none")
+	l.record(now, "own", advisory.Announcement{Limit: &advisory.Limit{Active: true, PerSecond: 5}})
+	before, after := l.record(now, "next", advisory.Announcement{})
+	assert.NotEqual(t, before.Limit, after.Limit, "the limit of the former upstream has to be lifted")
+}
--- a/node/gateway/slots.go
+++ b/node/gateway/slots.go
@@ -46,19 +46,6 @@
 	g.startTimer.Reset(delay)
 }
 
-// applyRateLimit limits the rate of requests to the local upstream to what it has
-// announced last.
-func (g *Gateway) applyRateLimit() {
-	g.withLimiter(func(now time.Time) []concurrency.Decision {
-		limit := g.announced.limit()
-		g.cfg.Metrics.rateLimit.Set(limit.PerSecond)
-		if limit.Active {
-			return g.limiter.SetRate(now, limit.PerSecond)
-		}
-		return g.limiter.ClearRate(now)
-	})
-}
-
 // acquire waits for a slot of the local upstream. It returns nil once the
 // request has one.
 func (g *Gateway) acquire(ctx context.Context, req *concurrency.Request) *verdict.Refusal {
