--- a/core/concurrency/limiter.go
+++ b/core/concurrency/limiter.go
@@ -119,13 +119,13 @@
 // SetRate limits the rate at which requests start, in requests per second.
 func (l *Limiter) SetRate(now time.Time, perSecond float64) []Decision {
 	l.pace.limit(now, perSecond)
-	return l.dispatch(now, l.preempt(now, l.expire(now, nil)))
+	return l.dispatch(now, l.preempt(now, l.expire(now)))
 }
 
 // ClearRate ends the limit of the rate.
 func (l *Limiter) ClearRate(now time.Time) []Decision {
 	l.pace.unlimit()
-	return l.dispatch(now, l.expire(now, nil))
+	return l.dispatch(now, l.expire(now))
 }
 
 // NextStart returns the time after which Expire starts a waiting request, if only
@@ -140,7 +140,7 @@
 // Offer admits, queues or rejects a request. The result may include decisions
 // about other requests.
 func (l *Limiter) Offer(now time.Time, req *Request) []Decision {
-	out := l.expire(now, nil)
+	out := l.expire(now)
 	req.arrived = now
 	if l.running < l.limit && len(l.queue) == 0 && l.pace.take(now) {
 		return append(out, l.start(now, req))
@@ -204,7 +204,7 @@
 	if service > 0 {
 		l.mean += serviceTimeWeight * (service.Seconds() - l.mean)
 	}
-	return l.dispatch(now, l.expire(now, nil))
+	return l.dispatch(now, l.expire(now))
 }
 
 // Cancel removes a waiting request from the queue. It reports whether the
@@ -224,7 +224,7 @@
 }
 
 // Expire rejects the waiting requests whose deadline or MaxWait has passed.
-func (l *Limiter) Expire(now time.Time) []Decision { return l.dispatch(now, l.expire(now, nil)) }
+func (l *Limiter) Expire(now time.Time) []Decision { return l.dispatch(now, l.expire(now)) }
 
 // Load returns the present load.
 func (l *Limiter) Load(now time.Time) Load {
@@ -268,7 +268,8 @@
 }
 
 // expire rejects the waiting requests whose deadline or MaxWait has passed.
-func (l *Limiter) expire(now time.Time, out []Decision) []Decision {
+func (l *Limiter) expire(now time.Time) []Decision {
+	var out []Decision
 	kept := l.queue[:0]
 	var expired []*Request
 	for _, req := range l.queue {
