--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -301,3 +301,76 @@
 	}
 	return held, nil
 }
+
+const (
+	downloads     = 4 // before the SIGTERM, and as many after it
+	downloadSize  = 1 << 20
+	downloadWork  = 900 * time.Millisecond
+	downloadPace  = 3300 * time.Millisecond
+	sentBefore    = 200 * time.Millisecond
+	sentAfter     = 500 * time.Millisecond
+	downloadLimit = 5 * time.Second
+)
+
+// downloadStop: clients fetch large answers when the node of their machine gets
+// SIGTERM. The servers end their answers before the last sixth of the grace period,
+// so that all of them must be complete.
+func downloadStop(s *site, trouble bool) (int, error) {
+	front, err := s.add("front", constant(20*time.Millisecond), small)
+	if err != nil {
+		return 0, err
+	}
+	var deep []*machine
+	for range 2 {
+		m, err := s.add("deep", constant(downloadWork), func(*http.Request) []byte { return make([]byte, downloadSize) })
+		if err != nil {
+			return 0, err
+		}
+		m.server.pace = downloadPace
+		deep = append(deep, m)
+	}
+	s.configure(route{"files", "/a/", "download", "deep", "5000ms"}, route{"other", "/f/", "safe", "front", "1000ms"})
+	if err := s.awaitReady(startLimit); err != nil {
+		return 0, err
+	}
+	time.Sleep(calmBefore)
+	var mu sync.Mutex
+	lost := 0
+	var clients sync.WaitGroup
+	fetch := func(when string) {
+		clients.Go(func() {
+			id := randomID()
+			sent := time.Now()
+			a := ask(front, http.MethodGet, "/a/"+id, id, downloadLimit)
+			s.log("request %s, sent %s the SIGTERM: %s after %.3f s", id, when, a, time.Since(sent).Seconds())
+			if a.err == nil {
+				return
+			}
+			for _, m := range deep {
+				if len(runsOf(m.server, m.server.id, map[string]answer{id: a})) > 0 {
+					mu.Lock()
+					lost++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for range downloads {
+		fetch("before")
+	}
+	time.Sleep(sentBefore)
+	if trouble {
+		s.log("SIGTERM to %s", front.name)
+		front.signal(syscall.SIGTERM)
+	}
+	time.Sleep(sentAfter)
+	for range downloads {
+		fetch("after")
+	}
+	clients.Wait()
+	s.log("%d of %d requests that had been passed on to a server ended without a complete answer", lost, 2*downloads)
+	if lost > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,6 +25,7 @@
 		"restarted-server-drains": restartedServerDrains,
 		"slow-reader":             slowReader,
 		"pipelined-stop":          pipelinedStop,
+		"download-stop":           downloadStop,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -27,6 +27,7 @@
 	store                  *store
 	work                   func(r *http.Request) time.Duration
 	body                   func(r *http.Request) []byte
+	pace                   time.Duration // of writing an answer; zero writes it at once
 
 	mu       sync.Mutex
 	id       string
@@ -156,10 +157,34 @@
 	if leaving {
 		h.Set("Server-Leaving", "1")
 	}
-	_, err := w.Write(body)
+	err := s.write(w, body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
 		s.runs[n].end = "complete"
 	}
 }
+
+// write sends a body, in equal pieces if the server has a pace.
+func (s *server) write(w http.ResponseWriter, body []byte) error {
+	if s.pace == 0 {
+		_, err := w.Write(body)
+		return err
+	}
+	size := max(len(body)/pieces, 1)
+	for len(body) > 0 {
+		n := min(size, len(body))
+		if _, err := w.Write(body[:n]); err != nil {
+			return err
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return err
+		}
+		body = body[n:]
+		time.Sleep(s.pace / pieces)
+	}
+	return nil
+}
+
+// pieces is the number of parts in which an answer with a pace is written.
+const pieces = 50
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -325,7 +325,11 @@
 		return answer{err: err}
 	}
 	defer func() { _ = c.nc.Close() }()
-	if err := c.send(method, path, id, "x", limit); err != nil {
+	body := ""
+	if method == http.MethodPost {
+		body = "x"
+	}
+	if err := c.send(method, path, id, body, limit); err != nil {
 		return answer{err: err}
 	}
 	return c.read(limit + time.Second)
