--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 dir="$(cd "$(dirname "$0")" && pwd)"
 test -x "$dir/../bin/review" || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$dir/../bin/review" restarted-server-drains "$dir"
+exec "$dir/../bin/review" kill-then-freeze "$dir"
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 		"slow-reader":             slowReader,
 		"pipelined-stop":          pipelinedStop,
 		"download-stop":           downloadStop,
+		"kill-then-freeze":        killThenFreeze,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
