--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -162,6 +162,16 @@
 	return nil
 }
 
+// awaitListening waits until the node accepts connections of other nodes.
+func (m *machine) awaitListening() error {
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if nc, err := net.DialTimeout("tcp", m.inbound, time.Second); err == nil {
+			return nc.Close()
+		}
+	}
+	return fmt.Errorf("%s doesn't listen", m.name)
+}
+
 // signal sends a signal to the node.
 func (m *machine) signal(sig os.Signal) {
 	m.mu.Lock()
