--- a/review/standins/backend.go
+++ b/review/standins/backend.go
@@ -21,23 +21,34 @@
 	// serve, if set, replaces the work and the answer of a request that runs.
 	serve func(w http.ResponseWriter, r *http.Request, id string)
 
-	mu     sync.Mutex
-	runs   map[string]int // by request id
-	server *http.Server
+	mu      sync.Mutex
+	runs    map[string]int // by request id
+	cut     map[string]bool
+	address string
+	server  *http.Server
 }
 
 func newBackend(address, id, service string, slots int, work time.Duration, rec *record) (*backend, error) {
-	lis, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
+	b := &backend{
+		id: id, service: service, work: work, slots: make(chan struct{}, slots), record: rec,
+		runs: map[string]int{}, cut: map[string]bool{}, address: address,
 	}
-	b := &backend{id: id, service: service, work: work, slots: make(chan struct{}, slots), record: rec, runs: map[string]int{}}
 	b.answer = func(id string) []byte { return []byte("answer to " + id) }
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 30 * time.Second}
-	go func() { _ = b.server.Serve(lis) }()
-	return b, nil
+	return b, b.listen()
+}
+
+func (b *backend) listen() error {
+	lis, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: b, ReadHeaderTimeout: 30 * time.Second}
+	b.server = server
+	go func() { _ = server.Serve(lis) }()
+	return nil
 }
 
+// close ends the backend at once, as a crash does.
 func (b *backend) close() { _ = b.server.Close() }
 
 // ServeHTTP implements http.Handler.
@@ -82,6 +93,9 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	case <-r.Context().Done():
+		b.mu.Lock()
+		b.cut[id] = true
+		b.mu.Unlock()
 		return
 	}
 	b.respond(w, id)
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -19,6 +19,7 @@
 	Created  uint64 `json:"created,omitempty"`
 	Lease    uint64 `json:"lease"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	at       time.Time
 }
 
 // store is a stand-in of the platform's metadata store.
@@ -30,6 +31,8 @@
 	changed  chan struct{}
 	server   *http.Server
 	address  string
+	// staleAge is the age of what reads return that accept stale data.
+	staleAge time.Duration
 }
 
 const storePage = 50
@@ -55,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	it := item{Key: key, Value: data, Revision: s.revision, Created: s.revision}
+	it := item{Key: key, Value: data, Revision: s.revision, Created: s.revision, at: time.Now()}
 	if old, ok := s.items[key]; ok {
 		it.Created = old.Created
 	}
@@ -68,7 +71,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.items, key)
-	s.notify(item{Key: key, Revision: s.revision, Deleted: true})
+	s.notify(item{Key: key, Revision: s.revision, Deleted: true, at: time.Now()})
 }
 
 func (s *store) notify(e item) {
@@ -77,17 +80,39 @@
 	s.changed = make(chan struct{})
 }
 
+// view returns the items and the revision that a read sees.
+func (s *store) view(stale bool) (map[string]item, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := time.Now()
+	if stale {
+		until = until.Add(-s.staleAge)
+	}
+	items, revision := map[string]item{}, uint64(1)
+	for _, e := range s.events {
+		if e.at.After(until) {
+			break
+		}
+		revision = e.Revision
+		if e.Deleted {
+			delete(items, e.Key)
+		} else {
+			items[e.Key] = e
+		}
+	}
+	return items, revision
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", "1")
 	q := r.URL.Query()
+	stale := q.Get("stale-ok") == "1"
 	switch r.URL.Path {
 	case "/api/kv-key":
-		s.mu.Lock()
-		it, ok := s.items[q.Get("key")]
-		at := s.revision
-		s.mu.Unlock()
+		items, at := s.view(stale)
+		it, ok := items[q.Get("key")]
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
 			return
@@ -97,7 +122,7 @@
 			At uint64 `json:"at"`
 		}{it, at})
 	case "/api/kv-range":
-		s.serveRange(w, q.Get("path-prefix"), q.Get("after"))
+		s.serveRange(w, q.Get("path-prefix"), q.Get("after"), stale)
 	case "/api/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait-ms"))
@@ -107,16 +132,14 @@
 	}
 }
 
-func (s *store) serveRange(w http.ResponseWriter, prefix, after string) {
-	s.mu.Lock()
+func (s *store) serveRange(w http.ResponseWriter, prefix, after string, stale bool) {
+	items, at := s.view(stale)
 	var found []item
-	for key, it := range s.items {
+	for key, it := range items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			found = append(found, it)
 		}
 	}
-	at := s.revision
-	s.mu.Unlock()
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
 	more := len(found) > storePage
 	if more {
