--- a/review/standins-2/backend.go
+++ b/review/standins-2/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,6 +29,8 @@
 	ID, Service, Zone string
 	Address           string // loopback address and port
 	Slots, Queue      int
+	// Early is the path prefix of requests that are rejected before they are in.
+	Early string
 	// Work returns the time for which a request is worked on.
 	Work func(r *http.Request) time.Duration
 	// Answer returns the status and the body of the answer of a request that has run.
@@ -125,6 +128,10 @@
 		w.Header().Set("Instance-Id", b.cfg.ID)
 		return
 	}
+	if b.cfg.Early != "" && strings.HasPrefix(r.URL.Path, b.cfg.Early) {
+		rejectEarly(w, r)
+		return
+	}
 	arrived := time.Now()
 	run := Run{Backend: b.cfg.ID, ID: r.Header.Get("Request-Id"), Method: r.Method, Path: r.URL.Path, Expected: r.Header.Get("Expected-Instance"), Arrived: arrived}
 	body, err := io.ReadAll(r.Body)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -28,8 +28,9 @@
 }
 
 var cases = map[string]func(*env) (result, error){
-	"cutback": cutBack,
-	"queue":   queueDrain,
+	"cutback":  cutBack,
+	"queue":    queueDrain,
+	"longbody": longBodies,
 }
 
 func main() {
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -165,7 +165,11 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command("target/toucangw-gateway", "-c", path)
+	program := "target/toucangw-gateway"
+	if p := os.Getenv("GATEWAY"); p != "" {
+		program = p // another build, for longbody
+	}
+	cmd := exec.Command(program, "-c", path)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TOUCANGW_SETTINGS=" + path}
 	if err := cmd.Start(); err != nil {
