--- a/review/standins-2/cutback.go
+++ b/review/standins-2/cutback.go
@@ -18,7 +18,7 @@
 	stability = 3 * time.Second
 	// leaveAfter is the time from the node's first read after the cut until the backend
 	// leaves.
-	leaveAfter = 300 * time.Millisecond
+	leaveAfter = 150 * time.Millisecond
 	// stayFor is how long the backend serves on after it has left: drain-timeout and a
 	// little longer. Then it ends.
 	stayFor = 2500 * time.Millisecond
@@ -49,7 +49,7 @@
 	if err != nil {
 		return noRun, err
 	}
-	for range 2 { // other hosts of the service
+	for range 3 { // other hosts of the service
 		if _, err := e.site.AddHost("batchlog", "vl-a", cfg); err != nil {
 			return noRun, err
 		}
--- a/review/standins-2/queue.go
+++ b/review/standins-2/queue.go
@@ -12,7 +12,7 @@
 
 const (
 	// usualRate is the number of requests a second.
-	usualRate = 33
+	usualRate = 49
 	usualWork = 400 * time.Millisecond
 	// slowFactor is how much longer the work of the slow backend takes; the site's
 	// largest dose of srv_slow is 12.
@@ -25,7 +25,7 @@
 	serveAfter = 3600 * time.Millisecond
 )
 
-// queueDrain: one backend of two turns slow, and is then drained and taken away. It
+// queueDrain: one backend of three turns slow, and is then drained and taken away. It
 // serves on for some seconds after its report, as the pages say.
 func queueDrain(e *env) (result, error) {
 	var slow atomic.Bool
@@ -45,7 +45,7 @@
 		return noRun, err
 	}
 	var leaving *Host
-	for i := range 2 {
+	for i := range 3 {
 		c := cfg
 		if i == 0 {
 			c.Work = slowWork
