--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-cd review/standins-2
-GOWORK=off GOFLAGS=-mod=mod go build -buildvcs=false -o ../../target/review-2/standins2 .
+GOWORK=off GOFLAGS= go build -buildvcs=false -o target/review-2/standins2 review/standins-2/*.go
