http1: a reset that only the writer of an upload sees ends the answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection during the upload.

Cause: the kernel reports the loss of a connection once. If the write of the upload gets the error, the read of the answer gets an end of file, as after an orderly end, and a body without a length was complete with that.

Change: connWriter records the error by which a write learned of the loss. At the end of a body without a length the write in progress is stopped and awaited, and a recorded error makes the body a truncated one. EPIPE does not count: without an earlier ECONNRESET it means that the upstream had ended its side. Sound answers that end with their connection during the upload are still delivered (TestAnswerThatEndsWithItsConnectionIsDelivered).

--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -128,13 +128,13 @@
 	r.writeDone = writeDone
 	r.conn.br = takeReader(clientReaders, r.conn.input)
 	if req.Stream == nil && len(req.Body) < asyncBodySize {
-		err := req.write(r.conn.nc)
+		err := req.write(r.conn.writer)
 		writeDone <- err
 		if err != nil {
 			return err
 		}
 	} else {
-		go func() { writeDone <- req.writeStream(r.conn.nc) }()
+		go func() { writeDone <- req.writeStream(r.conn.writer) }()
 	}
 	discarded := int64(maxDiscarded)
 	for range maxUnmatched {
@@ -176,11 +176,19 @@
 			return nil, malformed(err)
 		}
 		if response.StatusCode >= 200 {
+			if closeDelimited(response) {
+				response.Body = &closeDelimitedBody{r: r.conn.br, writer: r.conn.writer}
+			}
 			return response, nil
 		}
 	}
 }
 
+// closeDelimited reports whether the body of a response ends with its connection.
+func closeDelimited(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // malformed marks the errors of the parser, as opposed to those of the
 // connection, as ErrMalformedResponse.
 func malformed(err error) error {
--- a/node/http1/pool.go
+++ b/node/http1/pool.go
@@ -41,6 +41,7 @@
 // clientConn is a connection to a server. It carries one request at a time.
 type clientConn struct {
 	nc          net.Conn
+	writer      *connWriter
 	input       *limitedReader // between nc and br
 	br          *bufio.Reader  // nil while the connection is idle
 	address     string
@@ -103,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{nc: nc, input: &limitedReader{r: nc}, address: address, maxIdle: p.cfg.Idle}, nil
+	return &clientConn{nc: nc, writer: &connWriter{nc: nc}, input: &limitedReader{r: nc}, address: address, maxIdle: p.cfg.Idle}, nil
 }
 
 // put returns a reusable connection to the pool.
