http1: check response heads and trailers before they are parsed

Cause: heads of requests had a strict check; heads of responses relied on the parser of net/http, which takes a name with a blank as it is, joins folded lines, accepts bare line feeds and lets Transfer-Encoding win over a length. "Content-Length : 2" was no length, so that its body ended with the connection.

Control bytes in names and values were rejected before; these cases stay.

Change: responseHead checks each head by RFC 9110 and 9112 as its lines arrive, interim responses and trailer sections included. Requests and responses share the check of a field, so that names of requests must be tokens, too. A broken head is rejected as soon as it shows and ends its connection; the request may have run, so that an unsafe one gets 502. Sound heads that look odd are still read (TestSoundResponsesAreRead). A head larger than the read buffer gets a larger one.

--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -171,24 +171,16 @@
 	r.conn.input.limit(r.pool.cfg.MaxHead)
 	defer r.conn.input.unlimit()
 	for {
-		response, err := http.ReadResponse(r.conn.br, &http.Request{Method: method})
+		response, err := r.conn.readResponse(method)
 		if err != nil {
 			return nil, malformed(err)
 		}
 		if response.StatusCode >= 200 {
-			if closeDelimited(response) {
-				response.Body = &closeDelimitedBody{r: r.conn.br, writer: r.conn.writer}
-			}
 			return response, nil
 		}
 	}
 }
 
-// closeDelimited reports whether the body of a response ends with its connection.
-func closeDelimited(response *http.Response) bool {
-	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // malformed marks the errors of the parser, as opposed to those of the
 // connection, as ErrMalformedResponse.
 func malformed(err error) error {
--- a/node/http1/connwriter.go
+++ b/node/http1/connwriter.go
@@ -58,39 +58,3 @@
 	}
 	return true
 }
-
-// closeDelimitedBody reads a response body that ends with its connection. Its end is
-// an error unless it is an orderly one, and the writer of the request knows of no
-// loss either.
-type closeDelimitedBody struct {
-	r      io.Reader
-	writer *connWriter
-	err    error
-}
-
-// Read implements io.Reader.
-func (b *closeDelimitedBody) Read(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.r.Read(p)
-	if err == io.EOF {
-		if lost := b.writer.stop(); lost != nil {
-			err = &bodyLostError{lost}
-		}
-	}
-	b.err = err
-	return n, err
-}
-
-// Close implements io.Closer. The connection is closed by its owner.
-func (b *closeDelimitedBody) Close() error { return nil }
-
-// bodyLostError reports a body that ended with the loss of its connection.
-type bodyLostError struct{ err error }
-
-// Error implements error.
-func (e *bodyLostError) Error() string { return "connection lost during the body: " + e.err.Error() }
-
-// Unwrap returns io.ErrUnexpectedEOF and the error of the connection.
-func (e *bodyLostError) Unwrap() []error { return []error{io.ErrUnexpectedEOF, e.err} }
--- a/node/http1/head.go
+++ b/node/http1/head.go
@@ -60,41 +60,26 @@
 	return nil, &headError{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("head exceeds %d bytes", limit)}
 }
 
-var (
-	lineEnd     = []byte("\r\n")
-	lengthKey   = []byte("content-length")
-	encodingKey = []byte("transfer-encoding")
-)
+var lineEnd = []byte("\r\n")
 
-// checkHead rejects folded lines, bare line feeds, carriage returns and NUL
-// bytes, whitespace before a colon, and more than one Content-Length or
-// Transfer-Encoding header in total.
+// checkHead rejects heads that another parser might interpret differently: fields that
+// are not a token and a value without control characters, and more than one
+// Content-Length or Transfer-Encoding header in total.
 func checkHead(head []byte) error {
+	var f framing
 	lines := bytes.Split(head[:len(head)-len(headEnd)], lineEnd)
-	lengths, encodings := 0, 0
-	for i, line := range lines {
-		if bytes.IndexByte(line, '\n') >= 0 || bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
-			return &headError{http.StatusBadRequest, "control character in the head"}
-		}
-		if i == 0 {
-			continue
-		}
-		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
-			return &headError{http.StatusBadRequest, "folded header line"}
-		}
-		colon := bytes.IndexByte(line, ':')
-		if colon <= 0 || line[colon-1] == ' ' || line[colon-1] == '\t' {
-			return &headError{http.StatusBadRequest, "malformed header line"}
-		}
-		switch name := line[:colon]; {
-		case bytes.EqualFold(name, lengthKey):
-			lengths++
-		case bytes.EqualFold(name, encodingKey):
-			encodings++
+	if !allIn(lines[0], &isText) {
+		return &headError{http.StatusBadRequest, "control character in the request line"}
+	}
+	for _, line := range lines[1:] {
+		name, value, fault := checkField(line)
+		if fault != "" {
+			return &headError{http.StatusBadRequest, fault}
 		}
+		f.add(name, value)
 	}
-	if lengths+encodings > 1 {
-		return &headError{http.StatusBadRequest, "more than one Content-Length or Transfer-Encoding header"}
+	if fault := f.fault(); fault != "" {
+		return &headError{http.StatusBadRequest, fault}
 	}
 	return nil
 }
--- a/node/http1/pool.go
+++ b/node/http1/pool.go
@@ -52,13 +52,13 @@
 	reused      bool
 }
 
-// releaseReader returns the read buffer to its pool. No read may follow until the
-// next request.
+// releaseReader returns the read buffer to its pool, unless it was enlarged. No read
+// may follow until the next request.
 func (c *clientConn) releaseReader() {
-	if c.br != nil {
+	if c.br != nil && c.br.Size() == clientBufferSize {
 		putReader(clientReaders, c.br)
-		c.br = nil
 	}
+	c.br = nil
 }
 
 // get returns an idle connection or opens a new one.
