http1: a status below 100 is no status

What callers saw: a status of 000, 099 or "+20" was taken for that of an interim response and skipped.

Cause: the parser of net/http takes any three characters that are a number.

Change: the check of heads asks for three digits, of which the first is not 0, before the parser sees them. Statuses above 599 are passed on as before.

--- a/node/http1/responsehead.go
+++ b/node/http1/responsehead.go
@@ -61,8 +61,8 @@
 	statusDigits  = 3
 )
 
-// checkStatus checks the status line. Servers may leave out the blank before an empty
-// reason phrase.
+// checkStatus checks the status line. A status below 100 would be taken for that of an
+// interim response. Servers may leave out the blank before an empty reason phrase.
 func (h *responseHead) checkStatus(line []byte) error {
 	end := statusOffset + statusDigits
 	if len(line) < end || string(line[:len(versionPrefix)]) != versionPrefix || line[statusOffset-1] != ' ' {
@@ -73,6 +73,9 @@
 	if !isDigit(h.minor) || len(line) > end && line[end] != ' ' || !allIn(line[end:], &isText) {
 		return brokenHead("malformed status line")
 	}
+	if !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || status[0] == '0' {
+		return brokenHead("malformed status code")
+	}
 	h.bodyless = status[0] == '1' || string(status) == "204"
 	if string(status) == "101" {
 		return brokenHead("switch of protocols that was not requested")
--- a/node/http1/responsehead_test.go
+++ b/node/http1/responsehead_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -118,6 +119,21 @@
 	}
 }
 
+// Guards against a response whose status is no status being taken for an interim response, so that what follows it is read
+// as the response.
+func TestBrokenStatusesAreNoResponses(t *testing.T) {
+	for _, status := range []string{"000", "001", "020", "099", "+20", "-20", "1e2", " 20", "2 0", "20x", "0x1", "\xb2\xb0\xb0"} {
+		for _, follows := range []string{"", okAnswer} {
+			t.Run(status+" followed by "+strconv.Itoa(len(follows)), func(t *testing.T) {
+				t.Parallel()
+				answer := "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n" + follows
+				_, _, err := fetch(t, http.MethodGet, startAnswerServer(t, answer))
+				assert.ErrorIs(t, err, ErrMalformedResponse)
+			})
+		}
+	}
+}
+
 // Guards against sound responses being rejected as broken.
 func TestSoundResponsesAreRead(t *testing.T) {
 	long := strings.Repeat("X-A: "+strings.Repeat("v", 100)+"\r\n", 250)
