platform, confsync, upstream: read answers through the same check of heads

What callers saw: the fault of broken heads acts wherever net/http reads answers.

Cause: these readers used the client of net/http, whose parser is lenient.

A method, path or header of another node that is no message is still not sent (TestRequestsThatAreNoMessagesAreNotSent).

--- a/bench/control/memory.go
+++ b/bench/control/memory.go
@@ -85,13 +85,13 @@
 	var eligible map[string][]member.Host
 	compiler := settings.NewCompiler()
 	service := confsync.New(confsync.Config{
-		Self:         member.Host{ID: "host-00000", Zone: gossiptest.ZoneName(0)},
-		Site:         localSite,
-		PlatformURLs: []string{server.URL},
-		Peers:        noPeers{},
-		Compiler:     siteCompiler(compiler, localSite),
-		OnPolicy:     func(p *policy.Policy) { current = p },
-		OnHosts:      func(h map[string][]member.Host) { eligible = h },
+		Self:          member.Host{ID: "host-00000", Zone: gossiptest.ZoneName(0)},
+		Site:          localSite,
+		PlatformAddrs: []string{server.Listener.Addr().String()},
+		Peers:         noPeers{},
+		Compiler:      siteCompiler(compiler, localSite),
+		OnPolicy:      func(p *policy.Policy) { current = p },
+		OnHosts:       func(h map[string][]member.Host) { eligible = h },
 	})
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/node/confsync/confsync.go
+++ b/node/confsync/confsync.go
@@ -27,13 +27,13 @@
 
 // Config describes a node to the service.
 type Config struct {
-	Self         member.Host
-	Incarnation  uint64
-	Site         string
-	PlatformURLs []string // tried in turn
-	Seeds        []string // peer addresses (IP:port) to contact at start, before a host list is known
-	Peers        Peers
-	Compiler     Compiler
+	Self          member.Host
+	Incarnation   uint64
+	Site          string
+	PlatformAddrs []string // IP:port, tried in turn
+	Seeds         []string // peer addresses (IP:port) to contact at start, before a host list is known
+	Peers         Peers
+	Compiler      Compiler
 	// OnPolicy is called when a configuration becomes active, OnHosts when the
 	// eligible hosts per service change. Neither is called concurrently; they
 	// must not call the service.
--- a/node/confsync/platform.go
+++ b/node/confsync/platform.go
@@ -6,14 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"toucangw.example/core/gossip"
+	"toucangw.example/node/http1"
 )
 
 const (
@@ -24,6 +23,9 @@
 	// read requests.
 	answerMargin = 3 * time.Second
 	dialTimeout  = time.Second
+	idleTimeout  = time.Minute
+	// maxAnswerHead limits the head of an answer in bytes.
+	maxAnswerHead = 32 << 10
 )
 
 // platformValue is one value in an answer of the platform.
@@ -75,18 +77,15 @@
 
 // platformClient reads published values. It is safe for concurrent use.
 type platformClient struct {
-	urls   []string
-	client *http.Client
+	addresses []string // IP:port
+	pool      *http1.Pool
 }
 
-func newPlatformClient(urls []string) *platformClient {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
+func newPlatformClient(addresses []string) *platformClient {
+	return &platformClient{
+		addresses: addresses,
+		pool:      http1.NewPool(http1.PoolConfig{Dial: dialTimeout, Idle: idleTimeout, MaxHead: maxAnswerHead}),
 	}
-	return &platformClient{urls: urls, client: &http.Client{Transport: transport}}
 }
 
 // read tries each address in turn, beginning with the one at index first, and
@@ -94,13 +93,13 @@
 func (c *platformClient) read(
 	ctx context.Context, first int, r gossip.Read,
 ) (gossip.PlatformAnswer, error) {
-	if len(c.urls) == 0 {
+	if len(c.addresses) == 0 {
 		return gossip.PlatformAnswer{}, errors.New("no platform address is set")
 	}
 	var errs []error
-	for i := range c.urls {
-		base := c.urls[(first+i)%len(c.urls)]
-		answer, err := c.readFrom(ctx, base, r)
+	for i := range c.addresses {
+		address := c.addresses[(first+i)%len(c.addresses)]
+		answer, err := c.readFrom(ctx, address, r)
 		if err == nil {
 			return answer.decode()
 		}
@@ -110,7 +109,7 @@
 }
 
 func (c *platformClient) readFrom(
-	ctx context.Context, base string, r gossip.Read,
+	ctx context.Context, address string, r gossip.Read,
 ) (*platformAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+answerMargin)
 	defer cancel()
@@ -120,22 +119,16 @@
 		"wait":   {strconv.FormatFloat(r.Wait.Seconds(), 'f', -1, 64)},
 		"bodies": {strconv.FormatBool(!r.RevisionOnly)},
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/values?"+query.Encode(), nil)
+	response, err := c.pool.Get(ctx, address, "/v1/values?"+query.Encode(), maxAnswerBytes)
 	if err != nil {
-		return nil, fmt.Errorf("platform address %q: %w", base, err)
+		return nil, fmt.Errorf("read platform %s: %w", address, err)
 	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("read platform: %w", err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("read platform %s: status %s", base, resp.Status)
+	if response.Status != http.StatusOK {
+		return nil, fmt.Errorf("read platform %s: status %d", address, response.Status)
 	}
 	var answer platformAnswer
-	body := io.LimitReader(resp.Body, maxAnswerBytes)
-	if err := json.NewDecoder(body).Decode(&answer); err != nil {
-		return nil, fmt.Errorf("read platform %s: %w", base, err)
+	if err := json.Unmarshal(response.Body, &answer); err != nil {
+		return nil, fmt.Errorf("read platform %s: %w", address, err)
 	}
 	return &answer, nil
 }
--- a/node/confsync/service.go
+++ b/node/confsync/service.go
@@ -76,7 +76,7 @@
 	return &Service{
 		cfg:       cfg,
 		log:       log,
-		platform:  newPlatformClient(cfg.PlatformURLs),
+		platform:  newPlatformClient(cfg.PlatformAddrs),
 		wake:      make(chan struct{}, 1),
 		state:     gossip.New(time.Now(), config),
 		view:      member.New(),
@@ -111,7 +111,7 @@
 	s.ctx = nil
 	s.mu.Unlock()
 	s.workers.Wait()
-	s.platform.client.CloseIdleConnections()
+	s.platform.pool.Close()
 }
 
 func (s *Service) tick() {
--- a/node/confsync/service_test.go
+++ b/node/confsync/service_test.go
@@ -76,7 +76,7 @@
 	t        *testing.T
 	dir      string
 	platform *platform.Platform
-	url      string
+	address  string // of the platform
 	net      *network
 }
 
@@ -97,7 +97,7 @@
 	c.platform = p
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(server.Close)
-	c.url = server.URL
+	c.address = server.Listener.Addr().String()
 	return c
 }
 
@@ -123,7 +123,7 @@
 			addr := fmt.Sprintf("127.0.0.1:%d", port(zone, i))
 			service := New(Config{
 				Self:        member.Host{ID: member.HostID(fmt.Sprintf("%s%d", zone, i)), Addr: addr, Zone: zone},
-				Incarnation: 1, Site: zone, PlatformURLs: []string{c.url},
+				Incarnation: 1, Site: zone, PlatformAddrs: []string{c.address},
 				Seeds: []string{fmt.Sprintf("127.0.0.1:%d", port("a", 0))},
 				Peers: c.net, Compiler: compileText,
 				OnPolicy: func(*policy.Policy) {}, OnHosts: func(map[string][]member.Host) {},
--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -28,6 +28,25 @@
 	Match func(*http.Response) Match
 }
 
+// ErrInvalidRequest reports a request that cannot be written as a message.
+var ErrInvalidRequest = errors.New("invalid request")
+
+// Check returns an error if the method or a header holds bytes that it must not have. A
+// request that was not received as one must be checked before it is sent.
+func (r *Request) Check() error {
+	if r.Method == "" || !allIn([]byte(r.Method), &isToken) {
+		return fmt.Errorf("%w: method %q", ErrInvalidRequest, r.Method)
+	}
+	for name, values := range r.Header {
+		for _, value := range values {
+			if !allIn([]byte(name), &isToken) || !allIn([]byte(value), &isText) {
+				return fmt.Errorf("%w: header %q", ErrInvalidRequest, name)
+			}
+		}
+	}
+	return nil
+}
+
 // Match tells whether a response belongs to a request.
 type Match int
 
@@ -258,6 +277,13 @@
 	return data, complete, nil
 }
 
+// Delimited reports whether the head tells where the body ends. The end of other
+// bodies is that of the connection.
+func (r *ClientResponse) Delimited() bool {
+	_, closeDelimited := r.response.Body.(*closeDelimitedBody)
+	return !closeDelimited
+}
+
 // Stream returns a reader of the rest of the body. It returns an error if the
 // body is truncated.
 func (r *ClientResponse) Stream() io.Reader { return r.response.Body }
--- a/node/platform.go
+++ b/node/platform.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/netip"
+
 	"toucangw.example/core/member"
 	"toucangw.example/core/policy"
 	"toucangw.example/node/confsync"
@@ -11,14 +13,8 @@
 // platform and from peers.
 func (n *Node) platformSource(cfg SourceConfig) Source {
 	h := cfg.Settings.Host
-	urls := make([]string, 0, len(cfg.Settings.Platform.Addresses))
-	for _, addr := range cfg.Settings.Platform.Addresses {
-		urls = append(urls, "http://"+addr.String())
-	}
-	seeds := make([]string, 0, len(cfg.Settings.Seeds))
-	for _, addr := range cfg.Settings.Seeds {
-		seeds = append(seeds, addr.String())
-	}
+	platform := addressTexts(cfg.Settings.Platform.Addresses)
+	seeds := addressTexts(cfg.Settings.Seeds)
 	return confsync.New(confsync.Config{
 		Self: member.Host{
 			ID:          member.HostID(h.ID),
@@ -28,19 +24,27 @@
 			Service:     h.Service,
 			Incarnation: cfg.Incarnation,
 		},
-		Incarnation:  cfg.Incarnation,
-		Site:         h.Site,
-		PlatformURLs: urls,
-		Seeds:        seeds,
-		Peers:        cfg.Links,
-		Compiler:     siteCompiler(h.Site),
-		OnPolicy:     cfg.OnPolicy,
-		OnHosts:      cfg.OnHosts,
-		Logger:       n.logs.Logger,
-		Seed:         cfg.Incarnation,
+		Incarnation:   cfg.Incarnation,
+		Site:          h.Site,
+		PlatformAddrs: platform,
+		Seeds:         seeds,
+		Peers:         cfg.Links,
+		Compiler:      siteCompiler(h.Site),
+		OnPolicy:      cfg.OnPolicy,
+		OnHosts:       cfg.OnHosts,
+		Logger:        n.logs.Logger,
+		Seed:          cfg.Incarnation,
 	})
 }
 
+func addressTexts(addrs []netip.AddrPort) []string {
+	out := make([]string, 0, len(addrs))
+	for _, addr := range addrs {
+		out = append(out, addr.String())
+	}
+	return out
+}
+
 // siteCompiler returns a compiler that validates snapshots with the same code as
 // `toucangwctl check`. It reuses what it parsed of the previous version: at the
 // target size, parsing a whole base for each of 18,000 changes a day takes more
--- a/node/upstream/client_test.go
+++ b/node/upstream/client_test.go
@@ -220,3 +220,59 @@
 	require.NotEmpty(t, req.Header.Get(HeaderTimeout))
 	require.Empty(t, req.Header.Get("Idempotency-Key"))
 }
+
+// brokenHeads returns responses whose head is no sound one, by what is wrong.
+func brokenHeads() map[string]string {
+	return map[string]string{
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok",
+		"folded line":            "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\nContent-Length: 2\r\n\r\nok",
+		"length and chunks":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"000, then an answer":    "HTTP/1.1 000 Odd\r\n\r\n" + ok("ok"),
+		"interim, broken":        "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + ok("ok"),
+		"refusal, broken":        "HTTP/1.1 503 X\r\nToucangw-Not-Run: 1\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+		"head cut, with a close": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\ncut",
+	}
+}
+
+// Guards against a broken head being taken for an answer or for a refusal that says that the request has not run.
+func TestBrokenHeadsAreNoAnswers(t *testing.T) {
+	for name, head := range brokenHeads() {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, func(int64) string { return head })
+			event := runOnce(t, s, driver.Run{Method: http.MethodPost, Path: "/x"})
+			failed, isFailed := event.(engine.UpstreamFailed)
+			require.True(t, isFailed, "%+v", event)
+			require.Equal(t, verdict.MayHaveRun, failed.Verdict)
+		})
+	}
+}
+
+// Guards against an upstream in trouble being taken for a healthy one.
+func TestBrokenHeadsAreNotHealthy(t *testing.T) {
+	for name, head := range brokenHeads() {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, func(int64) string { return head })
+			c := New(s.lis.Addr().String(), 1<<10)
+			t.Cleanup(c.Close)
+			require.False(t, c.probe(t.Context(), "/health").Healthy)
+		})
+	}
+}
+
+// Guards against a request of another node that holds a line break being written as two requests.
+func TestRequestsThatAreNoMessagesAreNotSent(t *testing.T) {
+	for name, r := range map[string]driver.Run{
+		"path":   {Method: http.MethodGet, Path: "/x HTTP/1.1\r\nX: y"},
+		"method": {Method: "GET /y HTTP/1.1\r\n", Path: "/x"},
+		"header": {Method: http.MethodGet, Path: "/x", Caller: "c\r\nX: y"},
+		"key":    {Method: http.MethodPost, Path: "/x", Key: "k\x00"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, func(int64) string { return ok("") })
+			failed, isFailed := runOnce(t, s, r).(engine.UpstreamFailed)
+			require.True(t, isFailed)
+			require.Equal(t, verdict.NotRun, failed.Verdict)
+			require.Zero(t, s.requests.Load())
+		})
+	}
+}
--- a/node/upstream/probe.go
+++ b/node/upstream/probe.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"toucangw.example/core/engine"
+	"toucangw.example/node/http1"
 )
 
 // probeLimit bounds the bytes read from a response of the health endpoint.
@@ -32,18 +32,14 @@
 func (c *Client) probe(ctx context.Context, path string) engine.HealthProbed {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+path, nil)
+	response, err := c.probes.DoIdempotent(ctx, c.addr, &http1.Request{Method: http.MethodGet, Target: path, Host: c.addr})
 	if err != nil {
 		return engine.HealthProbed{}
 	}
-	resp, err := c.probes.Do(req)
-	if err != nil {
-		return engine.HealthProbed{}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, probeLimit))
+	defer response.Close()
+	_, _, _ = response.ReadBody(probeLimit)
 	return engine.HealthProbed{
-		Healthy:  resp.StatusCode == http.StatusOK,
-		Draining: draining(resp),
+		Healthy:  response.Status == http.StatusOK,
+		Draining: draining(response.Header),
 	}
 }
