http1: a refusal cannot be an earlier one of a request with the same ID

What callers would have seen: a faulty upstream writes an earlier refusal once more on a kept connection. If the next request there has the same ID, its client was told that it has not run (REFUSED), or it ran at a second upstream, too (TWICE). In engine mode, where answers have no ID, any request.

Cause: a refusal was matched to its request by the ID, which does not tell the attempts of a request apart.

Different IDs and refusals without an ID were handled already.

Change: a connection carries no request with an ID that it has refused, and none at all if the refused request had no ID. It remembers 32 refusals and is closed after that, so that other requests go on using it. A response without an ID is not taken after a response to another request on a new connection.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -234,6 +234,7 @@
 			{Name: names.CallerService, Value: f.meta.Origin},
 		},
 		Body: f.body, Stream: f.stream, Length: f.length,
+		ID:    f.requestID,
 		Match: func(r *http.Response) http1.Match { return matchAnswer(r, f.requestID, names.RequestID) },
 	}
 }
@@ -291,6 +292,7 @@
 	names := &g.cfg.Headers
 	header := response.Header
 	if header.Get(names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
+		response.MarkRefused()
 		_, _, _ = response.ReadBody(maxBufferedAnswer)
 		response.Close()
 		r := failed(verdict.NotRun, verdict.UpstreamShed, "upstream answered "+strconv.Itoa(response.Status))
--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -23,6 +23,9 @@
 	Body   []byte
 	Stream io.Reader
 	Length int64 // of Body and Stream together; -1 selects chunked encoding
+	// ID is that by which the server identifies the request in its responses; empty
+	// if it does not.
+	ID string
 	// Match tells whether a response belongs to this request. Nil matches every
 	// response.
 	Match func(*http.Response) Match
@@ -58,7 +61,7 @@
 	// discarded.
 	MatchOther
 	// MatchUnknown is a response that does not identify its request. It is
-	// accepted if the connection has carried no other request.
+	// accepted if the connection has carried no other request or response.
 	MatchUnknown
 )
 
@@ -94,6 +97,8 @@
 	stopWatch func() bool // stops closing the connection when the context ends
 	writeDone <-chan error
 	unmatched bool // responses to other requests came first
+	refused   bool
+	id        string // of the request
 	released  bool
 }
 
@@ -111,14 +116,14 @@
 // Do sends a request and returns the head of its response. The connection is
 // closed if ctx ends before the response is finished or closed.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*ClientResponse, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, req.ID)
 	if err != nil {
 		return nil, &RequestError{Err: fmt.Errorf("connect: %w", err)}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.nc.SetDeadline(deadline)
 	}
-	r := &ClientResponse{conn: c, pool: p}
+	r := &ClientResponse{conn: c, pool: p, id: req.ID}
 	r.stopWatch = context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	if err := r.exchange(req); err != nil {
 		r.stopWatch()
@@ -162,7 +167,7 @@
 			return err
 		}
 		switch match := req.match(response); {
-		case match == MatchUnknown && r.conn.reused:
+		case match == MatchUnknown && (r.conn.reused || r.unmatched):
 			return errUnidentified
 		case match != MatchOther:
 			r.response = response
@@ -307,7 +312,8 @@
 	r.released = true
 	stopped := r.stopWatch()
 	maxIdle := allowedIdle(r.Header, r.pool.cfg.Idle)
-	if !stopped || r.unmatched || r.response.Close || maxIdle <= 0 || !r.requestWritten() || r.conn.br.Buffered() > 0 {
+	if !stopped || r.unmatched || r.response.Close || maxIdle <= 0 || !r.requestWritten() || r.conn.br.Buffered() > 0 ||
+		r.refused && !r.conn.recordRefusal(r.id) {
 		_ = r.conn.nc.Close()
 		return
 	}
@@ -315,6 +321,12 @@
 	r.pool.put(r.conn)
 }
 
+// MarkRefused tells that the response refuses the request, which has not run. The
+// server may write the refusal once more, so the connection carries no other request
+// with the same ID; it carries none at all if the request has no ID. It must be called
+// before the body is read.
+func (r *ClientResponse) MarkRefused() { r.refused = true }
+
 // requestWritten reports whether the complete request has been written. If not,
 // the rest of its body could be taken for the next request on the connection.
 func (r *ClientResponse) requestWritten() bool {
--- a/node/http1/pool.go
+++ b/node/http1/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,20 @@
 	usableUntil time.Time     // end of the period in which it may be reused
 	maxIdle     time.Duration // idle time allowed after the current request
 	reused      bool
+	refusedIDs  []string // of the requests that were refused on the connection
+}
+
+// maxRefusedIDs bounds the refusals that a connection may carry.
+const maxRefusedIDs = 32
+
+// recordRefusal records that the request with an ID was refused on the connection. It
+// reports false if the connection must not be used again.
+func (c *clientConn) recordRefusal(id string) bool {
+	if id == "" || len(c.refusedIDs) >= maxRefusedIDs {
+		return false
+	}
+	c.refusedIDs = append(c.refusedIDs, id)
+	return true
 }
 
 // releaseReader returns the read buffer to its pool, unless it was enlarged. No read
@@ -61,10 +76,11 @@
 	c.br = nil
 }
 
-// get returns an idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, address string) (*clientConn, error) {
+// get returns an idle connection on which no request with the given ID was refused, or
+// opens a new one.
+func (p *Pool) get(ctx context.Context, address, id string) (*clientConn, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, id)
 		if c == nil {
 			break
 		}
@@ -77,16 +93,18 @@
 	return p.open(ctx, address)
 }
 
-func (p *Pool) takeIdle(address string) *clientConn {
+func (p *Pool) takeIdle(address, id string) *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.sweep(now)
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		list = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if slices.Contains(c.refusedIDs, id) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		p.idle[address] = list
 		c.idleTime = now.Sub(c.idleSince)
 		if now.Before(c.usableUntil) && p.bounds.allows(now, address, c.idleTime) {
--- a/node/upstream/client.go
+++ b/node/upstream/client.go
@@ -132,6 +132,9 @@
 	}
 	defer response.Close()
 	if refusal, ok := parseShed(response, r.Idempotent); ok {
+		if !refusal.MayHaveRun {
+			response.MarkRefused()
+		}
 		_, _, _ = response.ReadBody(int(c.maxBody.Load()))
 		return refusal
 	}
--- a/node/upstream/client_test.go
+++ b/node/upstream/client_test.go
@@ -18,6 +18,7 @@
 	"toucangw.example/core/engine"
 	"toucangw.example/core/verdict"
 	"toucangw.example/node/driver"
+	"toucangw.example/standin/rawupstream"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -276,3 +277,25 @@
 		})
 	}
 }
+
+// Guards against an earlier refusal that an upstream writes once more being taken for one of a request that runs.
+func TestRepeatedRefusalIsNotOneOfAnotherRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nToucangw-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var runs atomic.Int64
+	server, err := rawupstream.Listen("127.0.0.1:0", func(x *rawupstream.Exchange) bool {
+		x.Write(refusal)
+		if x.Number > 1 {
+			runs.Add(1)
+		}
+		return true
+	})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	c := New(server.Addr(), 1<<10)
+	t.Cleanup(c.Close)
+	for range 4 {
+		before := runs.Load()
+		replied, isReply := runWith(c, driver.Run{Method: http.MethodPost, Path: "/x"}).(engine.UpstreamReplied)
+		require.False(t, isReply && replied.Shed && !replied.MayHaveRun && runs.Load() > before, "said not to have run, but runs")
+	}
+}
