gateway: an answer that contradicts itself is a broken one

What callers would have seen: a head that was cut and joined with another one can be well formed. An answer with the IDs, signatures or the body of two, or a success that says that it has not run, was delivered or counted as not run.

Cause: of a field that may stand once the first was read, the others were passed on.

Change: more than one request ID or signature, or a success with the mark of a refusal, makes an answer a broken one. Its announcements are not recorded.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"toucangw.example/core/advisory"
 	"toucangw.example/core/calltree"
 	"toucangw.example/core/concurrency"
 	"toucangw.example/core/verdict"
@@ -189,8 +190,7 @@
 		end(0)
 		return classifyUpstreamError(ctx, err)
 	}
-	g.onLocalAnswer(instance, response.Status, response.Header)
-	r := g.readAnswer(response)
+	r := g.readAnswer(instance, response)
 	r.meta.WaitedUS = req.Waited(started).Microseconds()
 	r.meta.ReachedUpstream = true
 	if r.answer == nil || r.answer.Stream == nil {
@@ -240,10 +240,13 @@
 }
 
 // matchAnswer tells whether an answer belongs to the request with the given ID. A
-// refusal of an upstream may come without an ID, an answer may not.
+// refusal of an upstream may come without an ID, an answer may not. A head that was cut
+// and joined with another one may have two.
 func matchAnswer(r *http.Response, requestID, header string) http1.Match {
 	id := r.Header.Get(header)
 	switch {
+	case len(r.Header.Values(header)) > 1:
+		return http1.MatchInvalid
 	case id == requestID:
 		return http1.MatchOwn
 	case id == "" && !success(r.StatusCode):
@@ -286,11 +289,17 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// readAnswer reads the response of the upstream. It buffers the body if it is
-// not larger than maxBufferedAnswer, and streams it otherwise.
-func (g *Gateway) readAnswer(response *http1.ClientResponse) *reply {
+// readAnswer reads the response of an incarnation of the local upstream and records
+// what it announces. It buffers the body if it is not larger than maxBufferedAnswer, and
+// streams it otherwise.
+func (g *Gateway) readAnswer(instance advisory.Instance, response *http1.ClientResponse) *reply {
 	names := &g.cfg.Headers
 	header := response.Header
+	if success(response.Status) && !g.soundSuccess(header) {
+		response.Close()
+		return failed(verdict.MayHaveRun, verdict.IncompleteAnswer, "answer is not the upstream's")
+	}
+	g.onLocalAnswer(instance, response.Status, header)
 	if header.Get(names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
 		response.MarkRefused()
 		_, _, _ = response.ReadBody(maxBufferedAnswer)
@@ -302,10 +311,6 @@
 		r.meta.RetryMS = retryAfter(header).Milliseconds()
 		return r
 	}
-	if success(response.Status) && (header.Get(names.Signature) == "" || header.Get("Content-Encoding") != "") {
-		response.Close()
-		return failed(verdict.MayHaveRun, verdict.IncompleteAnswer, "answer is not the upstream's")
-	}
 	body, complete, err := response.ReadBody(maxBufferedAnswer)
 	if err != nil {
 		return failed(verdict.Run, verdict.IncompleteAnswer, "answer broke off: "+err.Error())
@@ -320,6 +325,14 @@
 	return &reply{answer: answer}
 }
 
+// soundSuccess reports whether the head of a success is that of an answer: it has one
+// signature, and does not say that the request has not run.
+func (g *Gateway) soundSuccess(h http.Header) bool {
+	names := &g.cfg.Headers
+	signatures := h.Values(names.Signature)
+	return len(signatures) == 1 && signatures[0] != "" && h.Get("Content-Encoding") == "" && h.Get(names.NotExecuted) == ""
+}
+
 func success(status int) bool { return status >= 200 && status < 300 }
 
 // retryAfter returns the retry time that an upstream advises, or zero.
--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -63,6 +63,9 @@
 	// MatchUnknown is a response that does not identify its request. It is
 	// accepted if the connection has carried no other request or response.
 	MatchUnknown
+	// MatchInvalid is a response that contradicts itself about its request. It ends
+	// the connection.
+	MatchInvalid
 )
 
 // Field is a header field.
@@ -111,6 +114,8 @@
 // earlier request, and must not be taken for a refusal of this one.
 var errUnidentified = fmt.Errorf("%w: it does not identify its request", ErrMalformedResponse)
 
+var errContradictory = fmt.Errorf("%w: it names more than one request", ErrMalformedResponse)
+
 var errUnmatched = fmt.Errorf("%w: the connection carried responses to other requests", ErrMalformedResponse)
 
 // Do sends a request and returns the head of its response. The connection is
@@ -167,6 +172,8 @@
 			return err
 		}
 		switch match := req.match(response); {
+		case match == MatchInvalid:
+			return errContradictory
 		case match == MatchUnknown && (r.conn.reused || r.unmatched):
 			return errUnidentified
 		case match != MatchOther:
