http1: end the reading of a body with its exchange

What callers would have seen: nothing was seen in a normal build, but the bytes of one client's request could have got into another's.

Cause: an upstream may answer before it has read a long body. The goroutine that writes the body to it went on reading from the client's connection after the exchange had ended and the read buffer had gone back to its pool.

TestBodyIsNotReadAfterItsExchange failed on the code before.

Change: the end of an exchange whose body was not read to its end interrupts the read in progress, waits for it, and makes later reads fail with ErrExchangeEnded. The connection of such an exchange carried no other request before, either.

--- a/node/http1/exchange.go
+++ b/node/http1/exchange.go
@@ -26,6 +26,8 @@
 	bodyDone   chan struct{}
 	bodyOnce   sync.Once
 	bodyRead   atomic.Bool // the body was read to its end
+	bodyMu     sync.Mutex  // held while the body is read from its stream
+	bodyEnded  bool        // the body must not be read any more
 	closeAfter bool
 	responded  bool
 }
@@ -101,13 +103,23 @@
 	return data, false, nil
 }
 
-// Stream returns a reader of the rest of the body.
+// ErrExchangeEnded is returned by the reader of Stream after the end of the exchange,
+// when the buffer of the connection may belong to another one.
+var ErrExchangeEnded = errors.New("exchange has ended")
+
+// Stream returns a reader of the rest of the body. It may be read on another goroutine,
+// also beyond the end of the exchange.
 func (x *Exchange) Stream() io.Reader { return (*bodyStream)(x) }
 
 type bodyStream Exchange
 
 func (s *bodyStream) Read(p []byte) (int, error) {
 	x := (*Exchange)(s)
+	x.bodyMu.Lock()
+	defer x.bodyMu.Unlock()
+	if x.bodyEnded {
+		return 0, ErrExchangeEnded
+	}
 	n, err := x.Request.Body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
@@ -227,9 +239,22 @@
 	x.finish()
 }
 
+// stopReading ends the reading of the body from its stream. The connection of a body
+// that was not read to its end carries no other request.
+func (x *Exchange) stopReading() {
+	if x.bodyRead.Load() {
+		return
+	}
+	_ = x.conn.nc.SetReadDeadline(time.Unix(1, 0))
+	x.bodyMu.Lock()
+	defer x.bodyMu.Unlock()
+	x.bodyEnded = true
+}
+
 // finish allows the next response of the connection to be written.
 func (x *Exchange) finish() {
 	x.finishOnce.Do(func() {
+		x.stopReading()
 		x.endBody(false)
 		close(x.done)
 	})
