gateway: an upstream's 503 without the mark of a refusal is no promise

What callers would have seen: an upstream in trouble ran an unsafe request and answered 503, 429 or 408 without Not-Executed. The client got that status, which promises that the request has not run (REFUSED), and sent it again (TWICE).

Cause: statuses of upstreams are passed on unchanged.

Change: to an unsafe request such an answer is a failure after which it may have run, so that its client gets 502. Answers to safe requests are passed on.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -190,7 +190,7 @@
 		end(0)
 		return classifyUpstreamError(ctx, err)
 	}
-	r := g.readAnswer(instance, response)
+	r := g.readAnswer(instance, f, response)
 	r.meta.WaitedUS = req.Waited(started).Microseconds()
 	r.meta.ReachedUpstream = true
 	if r.answer == nil || r.answer.Stream == nil {
@@ -289,10 +289,10 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// readAnswer reads the response of an incarnation of the local upstream and records
-// what it announces. It buffers the body if it is not larger than maxBufferedAnswer, and
+// readAnswer reads the response of an incarnation of the local upstream to a request, and
+// records what it announces. It buffers the body if it is not larger than maxBufferedAnswer, and
 // streams it otherwise.
-func (g *Gateway) readAnswer(instance advisory.Instance, response *http1.ClientResponse) *reply {
+func (g *Gateway) readAnswer(instance advisory.Instance, f *forward, response *http1.ClientResponse) *reply {
 	names := &g.cfg.Headers
 	header := response.Header
 	if success(response.Status) && !g.soundSuccess(header) {
@@ -311,6 +311,12 @@
 		r.meta.RetryMS = retryAfter(header).Milliseconds()
 		return r
 	}
+	if f.meta.Key != "" && promisesNotRun(response.Status) {
+		_, _, _ = response.ReadBody(maxBufferedAnswer)
+		response.Close()
+		return failed(verdict.MayHaveRun, verdict.IncompleteAnswer,
+			"upstream answered "+strconv.Itoa(response.Status)+" but does not say that the request has not run")
+	}
 	body, complete, err := response.ReadBody(maxBufferedAnswer)
 	if err != nil {
 		return failed(verdict.Run, verdict.IncompleteAnswer, "answer broke off: "+err.Error())
@@ -325,6 +331,16 @@
 	return &reply{answer: answer}
 }
 
+// promisesNotRun reports whether a status tells a client that its request has not run
+// and never will. An upstream means it only together with the mark of a refusal.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // soundSuccess reports whether the head of a success is that of an answer: it has one
 // signature, and does not say that the request has not run.
 func (g *Gateway) soundSuccess(h http.Header) bool {
