standin/metastore: bound the bytes of a page, as the users' store does

Cause, from the nodes' logs: two of its entries of over 2 MB, which are written in random order, came on one page, whose answer was above the 4 MB that a node reads. The store of the users ends a page at about 500 items or 1 MB (PROTOCOL.md); the stand-in counted items only.

--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -60,7 +60,10 @@
 	calls    map[string]int
 }
 
-// New returns an empty store with pages of pageSize items.
+// maxPageBytes bounds the values of a page together, unless it has one item only.
+const maxPageBytes = 1 << 20
+
+// New returns an empty store with pages of pageSize items and maxPageBytes at most.
 func New(pageSize int) *Store {
 	return &Store{
 		pageSize: pageSize, items: map[string]item{}, revision: 1, oldest: 1, era: 1,
@@ -255,8 +258,14 @@
 		Items   []item `json:"items"`
 		HasMore bool   `json:"has-more"`
 		At      uint64 `json:"at"`
-	}{Items: []item{}, HasMore: len(keys) > s.pageSize, At: s.revision}
-	for _, key := range keys[:min(len(keys), s.pageSize)] {
+	}{Items: []item{}, At: s.revision}
+	bytes := 0
+	for i, key := range keys {
+		bytes += len(view[key].Value)
+		if i == s.pageSize || i > 0 && bytes > maxPageBytes {
+			out.HasMore = true
+			break
+		}
 		out.Items = append(out.Items, view[key])
 	}
 	s.mu.Unlock()
