gateway: no promise for safe requests either without the mark of a refusal

What callers would have seen: an upstream in trouble ran a safe request and answered 503 without Not-Executed; the client was told that it has not run.

Change: such an answer is a failure after which the request may have run, whatever its kind; a safe request is tried at another upstream within its attempts and the retry budget.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -190,7 +190,7 @@
 		end(0)
 		return classifyUpstreamError(ctx, err)
 	}
-	r := g.readAnswer(instance, f, response)
+	r := g.readAnswer(instance, response)
 	r.meta.WaitedUS = req.Waited(started).Microseconds()
 	r.meta.ReachedUpstream = true
 	if r.answer == nil || r.answer.Stream == nil {
@@ -289,10 +289,10 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// readAnswer reads the response of an incarnation of the local upstream to a request, and
-// records what it announces. It buffers the body if it is not larger than maxBufferedAnswer, and
+// readAnswer reads the response of an incarnation of the local upstream and records
+// what it announces. It buffers the body if it is not larger than maxBufferedAnswer, and
 // streams it otherwise.
-func (g *Gateway) readAnswer(instance advisory.Instance, f *forward, response *http1.ClientResponse) *reply {
+func (g *Gateway) readAnswer(instance advisory.Instance, response *http1.ClientResponse) *reply {
 	names := &g.cfg.Headers
 	header := response.Header
 	if success(response.Status) && !g.soundSuccess(header) {
@@ -311,7 +311,7 @@
 		r.meta.RetryMS = retryAfter(header).Milliseconds()
 		return r
 	}
-	if f.meta.Key != "" && promisesNotRun(response.Status) {
+	if promisesNotRun(response.Status) {
 		_, _, _ = response.ReadBody(maxBufferedAnswer)
 		response.Close()
 		return failed(verdict.MayHaveRun, verdict.IncompleteAnswer,
