soak: upstreams that break their answers

Clients check what they get as before. The relay passes a reset on as one; it had made an orderly end of it.

--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -5,10 +5,12 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -118,6 +120,14 @@
 	_ = p.server.Close()
 }
 
+// resetAll makes the end of both connections a reset: that of one connection must not
+// look like an orderly end on the other.
+func (p *connPair) resetAll() {
+	for _, nc := range []net.Conn{p.client, p.server} {
+		_ = nc.(*net.TCPConn).SetLinger(0)
+	}
+}
+
 func (r *Relay) accept() {
 	for {
 		client, err := r.listener.Accept()
@@ -148,6 +158,9 @@
 				err = werr
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.resetAll()
+		}
 		if err != nil {
 			break
 		}
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,7 +35,8 @@
 	relayIP  string // IP address of the relays
 	server   *http.Server
 	current  atomic.Pointer[backend.Backend]
-	calls    *http.Client // for the calls that the upstream makes
+	breaker  atomic.Pointer[answerBreaker] // nil while the upstream is well
+	calls    *http.Client                  // for the calls that the upstream makes
 	settings string
 
 	// restarting is locked from the signal that stops a process until the next
@@ -77,7 +79,7 @@
 		return err
 	}
 	h.server = &http.Server{
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.current.Load().ServeHTTP(w, r) }),
+		Handler:           http.HandlerFunc(h.serveUpstream),
 		ReadHeaderTimeout: time.Second,
 	}
 	go func() { _ = h.server.Serve(lis) }()
@@ -103,6 +105,24 @@
 	h.register("ready")
 }
 
+func (h *Host) serveUpstream(w http.ResponseWriter, r *http.Request) {
+	upstream := h.current.Load()
+	if b := h.breaker.Load(); b != nil {
+		b.serve(w, r, upstream)
+		return
+	}
+	upstream.ServeHTTP(w, r)
+}
+
+// BreakAnswers makes the upstream break half of its answers at random, until
+// HealAnswers.
+func (h *Host) BreakAnswers(seed uint64) {
+	h.breaker.Store(&answerBreaker{random: rand.New(rand.NewPCG(seed, 0))})
+}
+
+// HealAnswers ends BreakAnswers.
+func (h *Host) HealAnswers() { h.breaker.Store(nil) }
+
 // CrashUpstream makes the upstream fail all requests and removes its entry, until
 // ReplaceUpstream.
 func (h *Host) CrashUpstream() {
--- a/standin/site/soak_test.go
+++ b/standin/site/soak_test.go
@@ -73,6 +73,7 @@
 	random      *rand.Rand
 	startSignal *rand.Rand // decides which restarts are followed by a signal during the start
 	series      *rand.Rand // decides on series of faults, beside the single ones
+	broken      *rand.Rand // decides on upstreams that break their answers
 	plannedOnly bool
 
 	mu          sync.Mutex
@@ -96,7 +97,7 @@
 	t.Cleanup(s.Close)
 	t.Cleanup(func() { keepLogs(t, s, seed) })
 	run := &soakRun{t: t, site: s, random: rand.New(rand.NewPCG(seed, 0)), startSignal: rand.New(rand.NewPCG(seed, 1)),
-		series: rand.New(rand.NewPCG(seed, 2)), plannedOnly: seed%2 == 1}
+		series: rand.New(rand.NewPCG(seed, 2)), broken: rand.New(rand.NewPCG(seed, 3)), plannedOnly: seed%2 == 1}
 	run.configure()
 	ready, stop := context.WithTimeout(ctx, 10*time.Second)
 	defer stop()
@@ -115,6 +116,10 @@
 			kind, target := run.series.IntN(1000), run.series.IntN(len(targets))
 			faults.Go(func() { run.faultSeries(kind, targets, target, length) })
 		}
+		if !run.plannedOnly && run.broken.IntN(brokenEvery) == 0 {
+			target, breaks := run.broken.IntN(len(targets)), run.broken.Uint64()
+			faults.Go(func() { run.breakAnswers(targets[target], breaks, length) })
+		}
 		time.Sleep(time.Duration(100+run.random.IntN(500)) * time.Millisecond)
 	}
 	faults.Wait()
@@ -192,6 +197,17 @@
 // series of faults.
 const seriesEvery = 6
 
+// brokenEvery is the number of faults, on average, beside one of which an upstream
+// breaks its answers.
+const brokenEvery = 3
+
+// breakAnswers makes the upstream of a host break its answers for a time.
+func (run *soakRun) breakAnswers(h *Host, seed uint64, length time.Duration) {
+	h.BreakAnswers(seed)
+	time.Sleep(length)
+	h.HealAnswers()
+}
+
 // faultSeries injects faults that follow one another, each of which showed a fault of
 // the system that the single ones did not.
 func (run *soakRun) faultSeries(kind int, hosts []*Host, target int, length time.Duration) {
