http1: the answer to a HEAD request is complete with its head

What callers saw: a HEAD request whose answer has a length got 502.

Cause: the length in the head was read as that of a body, which the answer to a HEAD request does not have.

Evidence: TestAnswersToHeadRequestsAreWhole failed on the code before for an answer with a length, through one node and two.

Change: a response without a body is complete at once, and its length is passed on. What the node beside the upstream and the one that calls it write for a response is made by one function.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -322,13 +322,7 @@
 		return failed(verdict.Run, verdict.IncompleteAnswer, "answer broke off: "+err.Error())
 	}
 	http1.StripHopByHop(header)
-	answer := &http1.ServerResponse{Status: response.Status, Header: header, Body: body, Length: response.Length}
-	if complete {
-		answer.Length = int64(len(body))
-	} else {
-		answer.Stream = response.Stream()
-	}
-	return &reply{answer: answer}
+	return &reply{answer: forwarded(response, body, complete)}
 }
 
 // promisesNotRun reports whether a status tells a client that its request has not run
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -97,6 +97,19 @@
 	finish func(complete bool)
 }
 
+// forwarded returns the response to be written for one that was received. Body is its
+// body, or the first part if it is not complete.
+func forwarded(response *http1.ClientResponse, body []byte, complete bool) *http1.ServerResponse {
+	out := &http1.ServerResponse{Status: response.Status, Header: response.Header, Body: body, Length: response.Length}
+	switch {
+	case !complete:
+		out.Stream = response.Stream()
+	case !response.Bodyless():
+		out.Length = int64(len(body))
+	}
+	return out
+}
+
 // replyMeta is the JSON value of replyHeader.
 type replyMeta struct {
 	// Verdict is set for an attempt without an answer.
--- a/node/gateway/peer.go
+++ b/node/gateway/peer.go
@@ -135,12 +135,7 @@
 	}
 	response.Header.Del(replyHeader)
 	http1.StripHopByHop(response.Header)
-	r.answer = &http1.ServerResponse{Status: response.Status, Header: response.Header, Body: body, Length: response.Length}
-	if complete {
-		r.answer.Length = int64(len(body))
-	} else {
-		r.answer.Stream = response.Stream()
-	}
+	r.answer = forwarded(response, body, complete)
 	return r, nil
 }
 
--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -91,7 +91,8 @@
 type ClientResponse struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body; -1 if it is unknown.
+	// Length is the length of the body; -1 if it is unknown. For a response to a HEAD
+	// request it is that of the body which the response does not have.
 	Length int64
 
 	response  *http.Response
@@ -268,6 +269,10 @@
 // been read to its end and the connection has been released. The rest of a
 // longer body is read from Stream.
 func (r *ClientResponse) ReadBody(limit int) (data []byte, complete bool, err error) {
+	if r.Bodyless() {
+		r.release()
+		return nil, true, nil
+	}
 	if r.Length > int64(limit) {
 		return nil, false, nil
 	}
@@ -289,6 +294,9 @@
 	return data, complete, nil
 }
 
+// Bodyless reports whether the response has no body, whatever its length is.
+func (r *ClientResponse) Bodyless() bool { return r.response.Body == http.NoBody }
+
 // Delimited reports whether the head tells where the body ends. The end of other
 // bodies is that of the connection.
 func (r *ClientResponse) Delimited() bool {
