--- a/node/http1/field.go
+++ b/node/http1/field.go
@@ -65,15 +65,15 @@
 
 // framing collects what the fields of a head say about the length of the body.
 type framing struct {
-	lengths, encodings int    // fields of that name
-	length             []byte // value of the last Content-Length, without blanks
+	lengths, encodings int  // fields of that name
+	notEmpty           bool // the last Content-Length is not 0
 }
 
 func (f *framing) add(name, value []byte) {
 	switch {
 	case bytes.EqualFold(name, lengthKey):
 		f.lengths++
-		f.length = bytes.Trim(value, " \t")
+		f.notEmpty = string(bytes.Trim(value, " \t")) != "0"
 	case bytes.EqualFold(name, encodingKey):
 		f.encodings++
 	}
@@ -89,5 +89,5 @@
 
 // announcesBody reports whether the head announces a body that is not empty.
 func (f *framing) announcesBody() bool {
-	return f.encodings > 0 || f.lengths > 0 && string(f.length) != "0"
+	return f.encodings > 0 || f.notEmpty
 }
