gateway: the refusal of a retry does not speak for the first attempt

What callers would have seen: a safe request ran at an upstream whose answer was broken, was tried again and refused there. Its client got 503, which promises that it has not run.

Cause: the verdict of the last attempt was told for all of them.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -40,6 +40,7 @@
 	deadline             time.Time
 	attempts             int             // attempts that may have reached an upstream
 	nodesTried           int             // attempts sent to nodes
+	mayHaveRun           bool            // in one of the attempts
 	tried                map[string]bool // IDs of the upstreams that were tried
 	routing              routingInputs
 }
@@ -280,9 +281,13 @@
 	g.onAnswer(u, r)
 	g.balancer.OnDone(time.Now(), u.ID, resultOf(q, r))
 	g.routeGraph.SetCallers(time.Now(), q.route.Name, r.meta.Callers)
-	if r.meta.ReachedUpstream || r.answer != nil || r.meta.verdict() != verdict.NotRun {
+	notRun := r.answer == nil && r.meta.verdict() == verdict.NotRun
+	if r.meta.ReachedUpstream || !notRun {
 		q.attempts++
 	}
+	if !notRun {
+		q.mayHaveRun = true
+	}
 	return r
 }
 
@@ -344,6 +349,9 @@
 func (g *Gateway) deliver(q *request, r *reply) {
 	if r.answer == nil {
 		refusal := r.refusal()
+		if q.mayHaveRun && refusal.Verdict == verdict.NotRun {
+			refusal.Verdict = verdict.MayHaveRun // the last attempt does not speak for the others
+		}
 		g.reject(q, statusOf(refusal), refusal)
 		return
 	}
--- a/standin/site/soak_test.go
+++ b/standin/site/soak_test.go
@@ -32,9 +32,11 @@
 // cause.
 var regressionSeeds = []uint64{
 	1,   // a request on a persistent connection got no response after the listener had closed
-	2,   // all faults
+	2,   // all faults; a 503 without the mark of a refusal was passed on
 	205, // a SIGHUP during the start of a process killed it, and nothing started it again
 	207, // as 205, and planned stops in a grace period that was too short for them
+
+	341006, // the refusal of a retry told that the request had not run in its first attempt
 }
 
 // Guards against lost, duplicated or mismatched requests and lasting outages when
