http1: reject bytes that are no response without waiting for a line end

What callers saw: an upstream that wrote a few bytes which are no response and kept the connection held its request until the deadline.

Cause: a line of a head was checked once its end had arrived.

Change: the beginning of a status line is checked as it arrives. The search for the end of a line goes on where it stopped, so that a line that arrives byte by byte is not searched again and again.

--- a/node/http1/responsehead.go
+++ b/node/http1/responsehead.go
@@ -21,6 +21,7 @@
 // lines arrive.
 type responseHead struct {
 	size      int // bytes of the checked lines
+	scanned   int // bytes that have been searched for the end of a line
 	framing   framing
 	minor     byte // of the version, HTTP/1.minor, as a digit
 	bodyless  bool // the status has no body
@@ -31,16 +32,17 @@
 // complete.
 func (h *responseHead) check(arrived []byte) (complete bool, err error) {
 	for {
-		n := bytes.IndexByte(arrived[h.size:], '\n')
+		n := bytes.IndexByte(arrived[h.scanned:], '\n')
 		if n < 0 {
-			return false, nil
+			h.scanned = len(arrived)
+			return false, h.checkStart(arrived)
 		}
-		line := arrived[h.size : h.size+n]
-		h.size += n + 1
-		if n == 0 || line[n-1] != '\r' {
+		line, ok := bytes.CutSuffix(arrived[h.size:h.scanned+n], carriageReturn)
+		h.scanned += n + 1
+		h.size = h.scanned
+		if !ok {
 			return false, brokenHead("line without a carriage return")
 		}
-		line = line[:n-1]
 		if !h.hasStatus {
 			err = h.checkStatus(line)
 			h.hasStatus = true
@@ -61,6 +63,18 @@
 	statusDigits  = 3
 )
 
+var carriageReturn = []byte("\r")
+
+// checkStart checks the first bytes of a status line whose end has not arrived. Bytes
+// that are no response may have no line end at all.
+func (h *responseHead) checkStart(arrived []byte) error {
+	n := min(len(arrived), len(versionPrefix))
+	if !h.hasStatus && string(arrived[:n]) != versionPrefix[:n] {
+		return brokenHead("malformed status line")
+	}
+	return nil
+}
+
 // checkStatus checks the status line. A status below 100 would be taken for that of an
 // interim response. Servers may leave out the blank before an empty reason phrase.
 func (h *responseHead) checkStatus(line []byte) error {
