--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -326,7 +326,7 @@
 }
 
 // promisesNotRun reports whether a status tells a client that its request has not run
-// and never will. An upstream means it only together with the mark of a refusal.
+// and never will. An upstream gives this promise by its not-executed header only.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -336,7 +336,7 @@
 }
 
 // soundSuccess reports whether the head of a success is that of an answer: it has one
-// signature, and does not say that the request has not run.
+// signature, no content encoding and no not-executed header.
 func (g *Gateway) soundSuccess(h http.Header) bool {
 	names := &g.cfg.Headers
 	signatures := h.Values(names.Signature)
--- a/node/http1/client.go
+++ b/node/http1/client.go
@@ -100,8 +100,8 @@
 	pool      *Pool
 	stopWatch func() bool // stops closing the connection when the context ends
 	writeDone <-chan error
-	unmatched bool // responses to other requests came first
-	refused   bool
+	unmatched bool   // responses to other requests came first
+	refused   bool   // MarkRefused was called
 	id        string // of the request
 	released  bool
 }
--- a/node/http1/field.go
+++ b/node/http1/field.go
@@ -39,7 +39,7 @@
 // checkField checks a line of a head or of a trailer section, without its line end. It
 // returns the name and the value, and what is wrong with them; empty if nothing is.
 func checkField(line []byte) (name, value []byte, fault string) {
-	if len(line) > 0 && isBlank(line[0]) {
+	if len(line) > 0 && isWhitespace(line[0]) {
 		return nil, nil, "folded header line"
 	}
 	colon := bytes.IndexByte(line, ':')
@@ -56,7 +56,7 @@
 	return line[:colon], line[colon+1:], ""
 }
 
-func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+func isWhitespace(c byte) bool { return c == ' ' || c == '\t' }
 
 var (
 	lengthKey   = []byte("content-length")
