gateway: tell the end of an upstream's process, and which requests were running

A lost connection is now followed by one new connection to the upstream, shared by all requests that lost theirs: if it is refused, the process has ended, which is logged with the fingerprint of each request that ran there. An upstream that has told that it leaves is not counted. No decision depends on it yet.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -101,6 +101,7 @@
 	announced      localAnnouncements
 	limitedTraffic limitedTraffic // to the local upstream
 	rateShortage   rateShortage   // of the local upstream
+	processEnds    endDetector    // of the local upstream
 
 	limiterMu  sync.Mutex
 	limiter    *concurrency.Limiter
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -184,11 +185,14 @@
 	g.limitedTraffic.onRequest(started, f.meta.Sender, g.announced.current(f.instance()).Limit)
 	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(upstreamGrace))
 	instance := g.presentInstance(f) // that of the send: the upstream may restart meanwhile
+	run := &localRun{forward: f, instance: instance, startedAt: started}
 	response, err := g.upstreamPool.Do(ctx, g.cfg.Upstream.String(), g.upstreamRequest(f, left))
 	if err != nil {
 		defer cancel()
 		end(0)
-		return classifyUpstreamError(ctx, err)
+		r := classifyUpstreamError(ctx, err)
+		g.onRunLost(run, r, err)
+		return r
 	}
 	r := g.readAnswer(instance, response)
 	r.meta.WaitedUS = req.Waited(started).Microseconds()
@@ -199,9 +203,14 @@
 		service := serviceTime(r, started)
 		g.cfg.Metrics.upstreamTime.Observe(service.Seconds())
 		end(service)
+		if r.answer == nil {
+			g.onRunLost(run, r, r.lost)
+		}
 		return r
 	}
 	r.meta.ServiceUS = time.Since(started).Microseconds()
+	stream := &watchedReader{r: r.answer.Stream}
+	r.answer.Stream = stream
 	r.finish = func(complete bool) {
 		if complete {
 			response.Finish()
@@ -210,10 +219,28 @@
 		}
 		cancel()
 		end(0)
+		if !complete {
+			g.onRunLost(run, r, stream.err)
+		}
 	}
 	return r
 }
 
+// watchedReader keeps the error of a reader.
+type watchedReader struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(p []byte) (int, error) {
+	n, err := w.r.Read(p)
+	if err != nil && err != io.EOF {
+		w.err = err
+	}
+	return n, err
+}
+
 // serviceTime returns the time since the start of an answered attempt, and zero
 // for an attempt without an answer.
 func serviceTime(r *reply, started time.Time) time.Duration {
@@ -319,7 +346,9 @@
 	}
 	body, complete, err := response.ReadBody(maxBufferedAnswer)
 	if err != nil {
-		return failed(verdict.Run, verdict.IncompleteAnswer, "answer broke off: "+err.Error())
+		r := failed(verdict.Run, verdict.IncompleteAnswer, "answer broke off: "+err.Error())
+		r.lost = err
+		return r
 	}
 	http1.StripHopByHop(header)
 	return &reply{answer: forwarded(response, body, complete)}
--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -119,6 +119,15 @@
 	l.write(logBudget, "refused", attrs)
 }
 
+// suspect logs a request that was running at the local upstream when its process ended.
+func (l *decisionLog) suspect(run *localRun, end *processEnd) {
+	f := run.forward
+	l.write(logBudget, "running at the end of an upstream", []any{
+		"request", f.requestID, "fingerprint", f.fingerprint().Short(), "route", f.meta.Route, "caller", f.meta.Origin,
+		"upstream", end.instance.ID, "started_at_ms", end.instance.StartedAt, "ran_us", end.at.Sub(run.startedAt).Microseconds(),
+	})
+}
+
 // outcome logs what the queries of the outcome of an at-most-once request returned
 // after its connection was lost. Age is the time since the request was sent.
 func (l *decisionLog) outcome(f *forward, r *reply, peer string, queries int, age time.Duration) {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -14,6 +14,7 @@
 	"toucangw.example/core/advisory"
 	"toucangw.example/core/balance"
 	"toucangw.example/core/calltree"
+	"toucangw.example/core/quarantine"
 	"toucangw.example/core/verdict"
 	"toucangw.example/node/http1"
 )
@@ -44,6 +45,7 @@
 	length               int64 // of body and stream together; -1 if unknown
 	requestID            string
 	deadline             time.Time
+	print                *quarantine.Fingerprint // set by fingerprint
 }
 
 // instance returns the incarnation that is to run the request.
@@ -95,6 +97,8 @@
 	// finish, if set, is called once the answer has been delivered completely or
 	// its delivery has failed.
 	finish func(complete bool)
+	// lost is the error with which the answer of the upstream broke off.
+	lost error
 }
 
 // forwarded returns the response to be written for one that was received. Body is its
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -26,6 +26,7 @@
 	panics       prometheus.Counter
 	upstreamSent prometheus.Counter
 	rateLimit    prometheus.Gauge
+	upstreamEnds prometheus.Counter
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -71,13 +72,17 @@
 			Name: "toucangw_gateway_upstream_rate_limit",
 			Help: "Requests per second that the local upstream announces to take; 0 without a limit.",
 		}),
+		upstreamEnds: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "toucangw_gateway_upstream_process_ends_total",
+			Help: "Unplanned ends of the local upstream's process while requests were running.",
+		}),
 		omitted: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "toucangw_gateway_log_lines_omitted_total",
 			Help: "Decision log lines omitted because of the byte budget.",
 		}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.version, m.storeCalls, m.queueTime, m.upstreamTime, m.omitted, m.panics,
-		m.upstreamSent, m.rateLimit)
+		m.upstreamSent, m.rateLimit, m.upstreamEnds)
 	m.initialise()
 	return m
 }
--- /dev/null
+++ b/node/gateway/processend.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"toucangw.example/core/advisory"
+	"toucangw.example/core/quarantine"
+	"toucangw.example/node/http1"
+)
+
+// endCheckTimeout bounds the check whether the local upstream's process has ended.
+const endCheckTimeout = 300 * time.Millisecond
+
+// localRun is a request that was sent to the local upstream.
+type localRun struct {
+	forward   *forward
+	instance  advisory.Instance
+	startedAt time.Time
+}
+
+// processEnd is the end of a process of the local upstream that was not planned.
+type processEnd struct {
+	instance advisory.Instance
+	at       time.Time // when it was noticed
+}
+
+// covers reports whether a run was at the process that has ended.
+func (e *processEnd) covers(run *localRun) bool {
+	return e.instance.ID == run.instance.ID && run.startedAt.Before(e.at)
+}
+
+// endDetector finds out whether the process of the local upstream has ended when
+// connections to it are lost. The requests that lose theirs together share one check.
+// It is safe for concurrent use.
+type endDetector struct {
+	mu      sync.Mutex
+	last    *processEnd
+	pending *endCheck
+}
+
+// endCheck is one check of the process.
+type endCheck struct {
+	startedAt time.Time
+	done      chan struct{} // closed at the end of the check
+}
+
+// find returns the end of the process at which a run has just lost its connection, or
+// nil if the process lives. First is set for the run that noticed the end.
+func (d *endDetector) find(run *localRun, refused func() bool) (end *processEnd, first bool) {
+	lostAt := time.Now()
+	for {
+		d.mu.Lock()
+		if d.last != nil && d.last.covers(run) {
+			defer d.mu.Unlock()
+			return d.last, first
+		}
+		check := d.pending
+		own := check == nil
+		if own {
+			check = &endCheck{startedAt: time.Now(), done: make(chan struct{})}
+			d.pending = check
+		}
+		d.mu.Unlock()
+		if own {
+			first = d.finish(check, run, refused())
+		} else {
+			<-check.done
+		}
+		// A check that began before the loss may have found the process alive.
+		if !first && !check.startedAt.Before(lostAt) {
+			return d.lastCovering(run), false
+		}
+	}
+}
+
+func (d *endDetector) finish(check *endCheck, run *localRun, ended bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ended {
+		d.last = &processEnd{instance: run.instance, at: time.Now()}
+	}
+	d.pending = nil
+	close(check.done)
+	return ended
+}
+
+func (d *endDetector) lastCovering(run *localRun) *processEnd {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.last == nil || !d.last.covers(run) {
+		return nil
+	}
+	return d.last
+}
+
+// upstreamEnd returns the end of the local upstream's process if a run has lost its
+// connection by it, and nil if the process lives or its end was planned.
+func (g *Gateway) upstreamEnd(run *localRun, err error) *processEnd {
+	if !http1.ConnectionLost(err) || g.leaves(run.instance) {
+		return nil
+	}
+	end, first := g.processEnds.find(run, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+		defer cancel()
+		return g.upstreamPool.Refused(ctx, g.cfg.Upstream.String())
+	})
+	if first {
+		g.cfg.Metrics.upstreamEnds.Inc()
+		g.cfg.Logger.Warn("upstream process ended", "upstream", end.instance.ID, "started_at_ms", end.instance.StartedAt,
+			"service", g.cfg.Service, "evidence", "connection lost, then refused", "running", g.load().Running+1)
+	}
+	return end
+}
+
+// leaves reports whether an incarnation of the local upstream has told that it leaves.
+func (g *Gateway) leaves(i advisory.Instance) bool {
+	if g.upstreamClosed.Load() || g.announced.current(i).Leaving {
+		return true
+	}
+	local := g.localUpstream.Load()
+	return local != nil && local.Left(i.ID, time.UnixMilli(i.StartedAt))
+}
+
+// onRunLost is called when a run has lost its connection without a complete answer.
+func (g *Gateway) onRunLost(run *localRun, r *reply, err error) {
+	end := g.upstreamEnd(run, err)
+	if end == nil {
+		return
+	}
+	g.log.suspect(run, end)
+}
+
+// fingerprint returns the fingerprint of the request.
+func (f *forward) fingerprint() quarantine.Fingerprint {
+	if f.print == nil {
+		print := quarantine.FingerprintOf(&quarantine.Request{
+			Method: f.method, Host: f.host, Target: f.target, Caller: f.meta.Origin, Length: f.length, Body: f.body,
+		})
+		f.print = &print
+	}
+	return *f.print
+}
