--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -58,7 +58,7 @@
 			return http1.Limits{MaxHeader: peerMaxHeader, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: peerIdleTimeout}
 		}}),
 		readiness: operatorServer(pathHandler(readinessPath, g.serveReadiness)),
-		metrics:   operatorServer(pathHandler(metricsPath, g.cfg.Metrics.Handler().ServeHTTP)),
+		metrics:   operatorServer(g.operatorHandler(metricsPath)),
 	}
 	if err := srv.listen(); err != nil {
 		for _, l := range srv.listeners {
@@ -83,6 +83,15 @@
 	return mux
 }
 
+// operatorHandler serves the metrics and the quarantine.
+func (g *Gateway) operatorHandler(metricsPath string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, g.cfg.Metrics.Handler())
+	mux.HandleFunc("GET "+QuarantinePath, g.serveQuarantine)
+	mux.HandleFunc("DELETE "+QuarantinePath+"/{fingerprint}", g.serveLift)
+	return mux
+}
+
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
