--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -20,10 +20,11 @@
 	target   string
 	wg       sync.WaitGroup
 
-	mu     sync.Mutex
-	pairs  map[*connPair]bool
-	faults Faults
-	closed bool
+	mu      sync.Mutex
+	refuses bool
+	pairs   map[*connPair]bool
+	faults  Faults
+	closed  bool
 }
 
 // Faults delay the bytes of all connections. The zero value has none.
@@ -49,12 +50,16 @@
 		return nil, err
 	}
 	r := &Relay{listener: listener, target: target, pairs: make(map[*connPair]bool)}
-	r.wg.Go(r.accept)
+	r.wg.Go(func() { r.accept(listener) })
 	return r, nil
 }
 
 // Addr returns the address that clients connect to.
-func (r *Relay) Addr() string { return r.listener.Addr().String() }
+func (r *Relay) Addr() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listener.Addr().String()
+}
 
 // Blackhole discards all further bytes of the connections that are open now, in
 // both directions. The connections stay open; new connections are not affected.
@@ -102,11 +107,37 @@
 	}
 }
 
+// Refuse closes the listener and all connections, as the end of the target's process
+// does. New connections are refused until Accept.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	r.refuses = true
+	_ = r.listener.Close()
+	r.mu.Unlock()
+	r.CloseConnections()
+}
+
+// Accept ends Refuse. It returns an error if the address is in use.
+func (r *Relay) Accept() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || !r.refuses {
+		return nil
+	}
+	listener, err := net.Listen("tcp", r.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	r.refuses, r.listener = false, listener
+	r.wg.Go(func() { r.accept(listener) })
+	return nil
+}
+
 // Close closes the listener and all connections, and waits for the forwarding
 // goroutines.
 func (r *Relay) Close() {
-	_ = r.listener.Close()
 	r.mu.Lock()
+	_ = r.listener.Close()
 	r.closed = true
 	for p := range r.pairs {
 		p.close()
@@ -128,9 +159,9 @@
 	}
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(listener net.Listener) {
 	for {
-		client, err := r.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -142,6 +173,9 @@
 		p := &connPair{client: client, server: server}
 		r.mu.Lock()
 		r.pairs[p] = true
+		if r.refuses {
+			p.close()
+		}
 		r.mu.Unlock()
 		r.wg.Go(func() { r.forward(p, client, server, true) })
 		r.wg.Go(func() { r.forward(p, server, client, false) })
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -46,6 +46,8 @@
 	mu        sync.Mutex
 	instances []*backend.Backend
 	id        string // instance ID of the upstream
+	crashed   bool   // by a request; the next instance has not started
+	crashes   []Crash
 	cmd       *exec.Cmd
 	exited    chan struct{}
 	exitCode  int
@@ -107,6 +109,9 @@
 
 func (h *Host) serveUpstream(w http.ResponseWriter, r *http.Request) {
 	upstream := h.current.Load()
+	if h.crashedBy(r) {
+		panic(http.ErrAbortHandler)
+	}
 	if b := h.breaker.Load(); b != nil {
 		b.serve(w, r, upstream)
 		return
