gateway: hold back queued requests, blame fast restarts under the same id; trace shows a crash

A request that waited for its slot while equal ones were quarantined was still sent (TestQueuedRequestIsHeldBackAtItsTurn fails without the second check). An upstream that starts again under the same id before a connection is refused is now seen by its later start. Tests of the evidence: an answer after a lost connection shows that the process lives; a request that was given up within a second before the end is a suspect. toucangwctl trace prints the line about a crash and no longer takes it for the outcome of the request (its test failed with "ended with status 0"). The relay of the soak resets connections when it stands for an ended process.

--- a/cmd/toucangwctl/trace.go
+++ b/cmd/toucangwctl/trace.go
@@ -70,8 +70,14 @@
 	WaitedUS             int64     `json:"waited_us"`
 	AdmissionProbability float64   `json:"share"`
 	Queued               int       `json:"upstream_queued"`
+	Crashes              int       `json:"crashes"`
+	Innocent             string    `json:"innocent"`
 }
 
+// crashMessage is the message of a line about a request that was running when its
+// upstream ended.
+const crashMessage = "running at the end of an upstream"
+
 // Execute implements flags.Commander.
 func (c *traceCommand) Execute([]string) error {
 	lines, err := c.read()
@@ -191,6 +197,13 @@
 		indent = "  "
 	}
 	_, _ = fmt.Fprintf(&b, "%s%s %-16s %s %s", indent, l.arrival().Format("15:04:05.000"), l.Node, l.Message, l.Request)
+	if l.Message == crashMessage {
+		_, _ = fmt.Fprintf(&b, ": upstream %s, route %s, crashes under equal requests: %d", l.Upstream, l.Route, l.Crashes)
+		if l.Innocent != "" {
+			b.WriteString(", not suspected: " + l.Innocent)
+		}
+		return b.String()
+	}
 	_, _ = fmt.Fprintf(&b, ": status %d after %d ms, route %s, service %s, configuration %d", l.Status, l.TookUS/1000, l.Route, l.Service, l.Version)
 	if l.Upstream != "" {
 		_, _ = fmt.Fprintf(&b, ", upstream %s (attempts %d of %d nodes asked, queued %d ms)", l.Upstream, l.Attempts, l.NodesTried, l.WaitedUS/1000)
@@ -241,6 +254,7 @@
 	for i := range tree {
 		l := &tree[i]
 		switch {
+		case l.Message == crashMessage:
 		case l.Request == id:
 			root = l
 		case l.Status >= 500 && cause == nil && !failedBelow[l.Request]:
--- a/cmd/toucangwctl/trace_test.go
+++ b/cmd/toucangwctl/trace_test.go
@@ -45,6 +45,17 @@
 	require.Len(t, lines, 2)
 }
 
+// Guards against a trace that takes the line about a crashed upstream for the outcome of the request.
+func TestTraceShowsTheCrashUnderARequest(t *testing.T) {
+	writeFiles(t, map[string]string{"a.log": `{"time":"2026-12-04T08:00:01Z","msg":"running at the end of an upstream","node":"b","request":"root","route":"r1","upstream":"i-1","crashes":2}
+{"time":"2026-12-04T08:00:01.01Z","msg":"refused","node":"a","request":"root","took_us":90000,"version":7,"route":"r1","service":"deep","status":502,"verdict":"may-have-run","reason":"upstream-crashed","detail":"upstream process ended"}
+`})
+	got := runTool("trace", "--request", "root", "a.log")
+	require.Equal(t, exitOK, got.code, got.err)
+	require.Contains(t, got.out, "upstream i-1, route r1, crashes under equal requests: 2")
+	require.Contains(t, got.out, "refused by a: upstream-crashed (may-have-run), upstream process ended")
+}
+
 // Guards against wrong exit codes for ids and files that do not exist.
 func TestTraceExitCodes(t *testing.T) {
 	traceFiles(t)
--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -109,7 +109,7 @@
 	}
 	g.cfg.Metrics.queueTime.Observe(waited.Seconds())
 	if refusal == nil {
-		if refusal = g.refuseLateWork(f); refusal != nil {
+		if refusal = g.refuseAfterQueue(f); refusal != nil {
 			g.release(req, 0)
 		}
 	}
@@ -129,6 +129,15 @@
 	return g.run(ctx, f, req)
 }
 
+// refuseAfterQueue returns a refusal if a request must not run any more that has waited
+// for its slot.
+func (g *Gateway) refuseAfterQueue(f *forward) *verdict.Refusal {
+	if refusal := g.refuseLateWork(f); refusal != nil {
+		return refusal
+	}
+	return g.refuseQuarantined(f)
+}
+
 // rejectNewWork returns a refusal if the local upstream takes no new requests or
 // is not the one that is to run the request.
 func (g *Gateway) rejectNewWork(f *forward) *verdict.Refusal {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -46,6 +46,7 @@
 	requestID            string
 	deadline             time.Time
 	print                *quarantine.Fingerprint // set by fingerprint
+	probe                bool                    // runs although equal requests are quarantined
 }
 
 // instance returns the incarnation that is to run the request.
--- a/node/gateway/processend.go
+++ b/node/gateway/processend.go
@@ -101,10 +101,19 @@
 func (d *endDetector) replaced(by advisory.Instance) []*localRun {
 	now := time.Now()
 	return d.take(func(u unansweredRun) bool {
-		return u.lost && u.run.instance.ID != by.ID && now.Sub(u.endedAt) < restartTime
+		return u.lost && precedes(u.run.instance, by) && now.Sub(u.endedAt) < restartTime
 	})
 }
 
+// precedes reports whether an incarnation at an address ended before another one
+// started there. The start of an incarnation may be unknown.
+func precedes(i, next advisory.Instance) bool {
+	if i.ID != next.ID {
+		return true
+	}
+	return i.StartedAt > 0 && i.StartedAt < next.StartedAt
+}
+
 func (d *endDetector) take(match func(unansweredRun) bool) []*localRun {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/gateway/quarantine.go
+++ b/node/gateway/quarantine.go
@@ -68,12 +68,13 @@
 func (g *Gateway) refuseQuarantined(f *forward) *verdict.Refusal {
 	now := time.Now()
 	record, quarantined := g.quarantinedRecord(now, f)
-	if !quarantined {
+	if !quarantined || f.probe {
 		return nil
 	}
 	version := g.softwareVersion(f.meta.Upstream)
 	target := g.probeTarget(now, f)
 	if target != nil && target.ID == f.meta.Upstream && g.quarantine.BeginProbe(now, record.Fingerprint, version) {
+		f.probe = true
 		g.cfg.Logger.Warn("quarantined request probed", "fingerprint", record.Fingerprint.Short(), "request", f.requestID,
 			"upstream", f.meta.Upstream, "software", version, "crashes", record.Counted())
 		return nil
--- /dev/null
+++ b/node/gateway/quarantine_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"toucangw.example/core/advisory"
+	"toucangw.example/core/concurrency"
+	"toucangw.example/core/directory"
+	"toucangw.example/core/quarantine"
+	"toucangw.example/core/routetable"
+	"toucangw.example/core/verdict"
+)
+
+// crashThrice quarantines a request at a node.
+func crashThrice(g *Gateway, f *forward) {
+	for i := range 3 {
+		g.quarantine.OnCrash(time.Now(), f.fingerprint(), quarantine.Subject{},
+			quarantine.Crash{Upstream: advisory.Instance{ID: fmt.Sprint("u", i)}, At: time.Now()})
+	}
+}
+
+func localForward() *forward {
+	return &forward{meta: forwardMeta{Service: "s", Upstream: "own"}, method: "GET", target: "/1", header: http.Header{}, deadline: time.Now().Add(time.Second)}
+}
+
+// Guards against a request that is sent to its upstream although equal ones were quarantined while it waited for a slot.
+func TestQueuedRequestIsHeldBackAtItsTurn(t *testing.T) {
+	g := testGateway()
+	var running []*concurrency.Request
+	for range initialSlots {
+		req := &concurrency.Request{Deadline: time.Now().Add(time.Second)}
+		require.Nil(t, g.acquire(context.Background(), req))
+		running = append(running, req)
+	}
+	f := localForward()
+	replies := make(chan *reply)
+	go func() { replies <- g.admitAndRun(context.Background(), f) }()
+	require.Eventually(t, func() bool { return g.load().Queued == 1 }, time.Second, time.Millisecond)
+	crashThrice(g, localForward())
+	g.release(running[0], 0)
+	r := <-replies
+	assert.Equal(t, verdict.Quarantined, r.meta.Reason)
+	assert.Equal(t, verdict.NotRun, r.meta.verdict())
+}
+
+// Guards against an upstream that crashes and is back so fast that no connection is refused.
+func TestReplacedIncarnationHasCrashed(t *testing.T) {
+	for name, next := range map[string]advisory.Instance{"another ID": {ID: "next", StartedAt: 20}, "same ID": {ID: "own", StartedAt: 20}} {
+		g := testGateway()
+		g.SetLocalUpstream(directory.LocalUpstream{ID: "own", StartedAt: time.UnixMilli(10)})
+		run := &localRun{forward: localForward(), instance: advisory.Instance{ID: "own", StartedAt: 10}, startedAt: time.Now()}
+		g.processEnds.remember(run, true)
+		g.SetLocalUpstream(directory.LocalUpstream{ID: next.ID, StartedAt: time.UnixMilli(next.StartedAt)})
+		record, known := g.quarantine.Get(run.forward.fingerprint())
+		require.True(t, known, name)
+		assert.Equal(t, 1, record.Counted(), name)
+	}
+}
+
+// Guards against a lost connection that is taken for a crash although the process has answered since.
+func TestProcessThatAnsweredAfterALossHasNotCrashed(t *testing.T) {
+	g := testGateway()
+	own := advisory.Instance{ID: "own", StartedAt: 10}
+	g.processEnds.remember(&localRun{forward: localForward(), instance: own, startedAt: time.Now()}, true)
+	other := localForward()
+	other.target = "/2"
+	g.onRunAnswered(&localRun{forward: other, instance: own, startedAt: time.Now().Add(time.Millisecond)}, http.StatusOK)
+	g.SetLocalUpstream(directory.LocalUpstream{ID: "next", StartedAt: time.UnixMilli(20)})
+	assert.True(t, g.quarantine.Empty())
+}
+
+// Guards against a crashing request that goes unnoticed because its client leaves before the upstream ends.
+func TestRequestThatWasGivenUpBeforeTheCrashIsSuspected(t *testing.T) {
+	g := testGateway() // nothing listens at its upstream's address
+	own := advisory.Instance{ID: "own", StartedAt: 10}
+	givenUp := &localRun{forward: localForward(), instance: own, startedAt: time.Now()}
+	g.onRunLost(givenUp, &reply{}, context.Canceled)
+	assert.True(t, g.quarantine.Empty())
+	other := localForward()
+	other.target = "/2"
+	r := &reply{}
+	g.onRunLost(&localRun{forward: other, instance: own, startedAt: time.Now()}, r, io.EOF)
+	assert.Equal(t, verdict.UpstreamCrashed, r.meta.Reason)
+	for _, f := range []*forward{givenUp.forward, other} {
+		record, _ := g.quarantine.Get(f.fingerprint())
+		assert.Equal(t, 1, record.Counted())
+	}
+}
+
+// Guards against a refusal with a promise for a request whose earlier attempt ran, and against one that clients soon repeat.
+func TestRefusalOfACrashingRequestIsTrue(t *testing.T) {
+	g := testGateway()
+	f := localForward()
+	crashThrice(g, f)
+	g.SetHosts(directory.NewSnapshot(directory.Position{}, []directory.Upstream{
+		{ID: "own", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Version: ""},
+	}))
+	q := &request{route: &routetable.Route{Name: "r"}, service: "s", tried: map[string]bool{}}
+	r := g.attempt(context.Background(), q, f)
+	assert.Equal(t, verdict.Quarantined, r.meta.Reason)
+	assert.Equal(t, http.StatusServiceUnavailable, statusOf(r.refusal()))
+	assert.Equal(t, quarantineRetryAfter, r.refusal().RetryAfter)
+	assert.Zero(t, q.attempts)
+	assert.False(t, g.shouldRetry(context.Background(), &request{deadline: time.Now().Add(time.Second), route: q.route}, f, r))
+}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -107,14 +107,17 @@
 	}
 }
 
-// Refuse closes the listener and all connections, as the end of the target's process
-// does. New connections are refused until Accept.
+// Refuse closes the listener and resets all connections, as the end of the target's
+// process does. New connections are refused until Accept.
 func (r *Relay) Refuse() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.refuses = true
 	_ = r.listener.Close()
-	r.mu.Unlock()
-	r.CloseConnections()
+	for p := range r.pairs {
+		p.resetAll()
+		p.close()
+	}
 }
 
 // Accept ends Refuse. It returns an error if the address is in use.
