http1: a status above 599 is no status

Statuses from 600 to 999 were passed on as answers. RFC 9110, section 15, calls them invalid and has a client process them as a server error, as it does not know their class; whether such an answer has a body, may be retried or may be cached is undefined. They count as a broken head now: 502, since the request may have run, or another upstream for a safe one.

--- a/node/http1/responsehead.go
+++ b/node/http1/responsehead.go
@@ -76,7 +76,7 @@
 }
 
 // checkStatus checks the status line. A status below 100 would be taken for that of an
-// interim response. Servers may leave out the blank before an empty reason phrase.
+// interim response, and one above 599 has no class (RFC 9110, section 15). Servers may leave out the blank before an empty reason phrase.
 func (h *responseHead) checkStatus(line []byte) error {
 	end := statusOffset + statusDigits
 	if len(line) < end || string(line[:len(versionPrefix)]) != versionPrefix || line[statusOffset-1] != ' ' {
@@ -87,7 +87,7 @@
 	if !isDigit(h.minor) || len(line) > end && line[end] != ' ' || !allIn(line[end:], &isText) {
 		return brokenHead("malformed status line")
 	}
-	if !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || status[0] == '0' {
+	if !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || status[0] < '1' || status[0] > '5' {
 		return brokenHead("malformed status code")
 	}
 	h.bodyless = status[0] == '1' || string(status) == "204"
