quarantine: compare digests before what others have told is sent again

At the first crash each node of a service passed on to all others what it had just learned: 992 messages with 99,200 records for 32 nodes and 100 requests in progress, 31 and 3,100 at each later crash. Each message carries a digest of the sender's records now, and the reply says whether the receiver has the same; only a process that is new to the sender and differs gets everything. 31 messages and 3,100 records at each crash, the first one too (TestMessagesOfALargeFleet, which failed before). An upstream that falls silent and is replaced counts as crashed if it has answered nothing since. TestFleetHoldsTheBound holds for 2000 draws.

--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -109,7 +109,7 @@
 				n.sharing.Failed(m) // the response is lost
 				continue
 			}
-			n.sharing.Delivered(m, fmt.Sprint(to.process))
+			n.sharing.Delivered(m, Reply{fmt.Sprint(to.process), to.table.Digest(m.Scope) == m.Digest})
 		}
 	}
 }
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -1,9 +1,12 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucangw.example/core/advisory"
 )
 
@@ -78,6 +81,8 @@
 	// public is set once the requests were quarantined. Records of public entries go to
 	// all nodes, others only to those in front of the upstreams of the service.
 	public bool
+	// learned is set if the last change came from another node, which tells the others.
+	learned bool
 	// probes counts the probes that this node has admitted, the last one until
 	// probingUntil at most.
 	probes       int
@@ -146,3 +151,20 @@
 	}
 	return now.Sub(e.LastCrash()) >= delay
 }
+
+// digest returns a number that differs for different records with one fingerprint, and
+// does not depend on the order of the crashes.
+func (e *entry) digest() uint64 {
+	sum := uint64(0)
+	buf := make([]byte, 0, len(e.Fingerprint)+maxText)
+	for _, c := range e.Crashes {
+		buf = append(buf[:0], e.Fingerprint[:]...)
+		buf = binary.AppendVarint(buf, c.Upstream.StartedAt)
+		buf = append(buf, c.Upstream.ID...)
+		if c.Cleared {
+			buf = append(buf, 0)
+		}
+		sum ^= xxhash.Sum64(buf)
+	}
+	return sum
+}
--- a/core/quarantine/sharing.go
+++ b/core/quarantine/sharing.go
@@ -33,15 +33,25 @@
 type Message struct {
 	Peer    string // address
 	Records []Record
+	Scope   Scope // of the records that the node is to have
+	// Digest is that of the sender's table. The node compares it with its own after it
+	// has merged the records.
+	Digest uint64
 
-	after, upTo uint64 // numbers of the changes in the table
+	upTo uint64 // number of the last change in the table
+}
+
+// Reply is the response to a Message.
+type Reply struct {
+	Process string `json:"process"` // identifies the process that has replied
+	Same    bool   `json:"same"`    // it has the records of the sender
 }
 
 // Sharing decides which changes of a Table are sent to which nodes. What a node has seen
 // itself, and who is quarantined, goes to all nodes of a small fleet. It is sent again
-// until it is acknowledged. The response to a message also tells whether the node was restarted and lacks the whole
-// table; therefore a few nodes get one in any case while there are entries. Sharing is
-// safe for concurrent use.
+// until it is acknowledged. The reply to a message also shows whether the node was
+// restarted and lacks records; therefore a few nodes get one in any case while there are
+// entries. Sharing is safe for concurrent use.
 type Sharing struct {
 	table  *Table
 	random func(n int) int // from 0 to n-1
@@ -55,7 +65,7 @@
 type peerState struct {
 	Peer
 	listedAt time.Time
-	process  string // that has acknowledged changes
+	process  string // that has replied last; empty before the first reply
 	acked    uint64 // number of the last change that it has
 	busy     bool   // a message is on its way
 }
@@ -80,31 +90,35 @@
 		if p.busy || !chosen[p] && !direct && !p.SameService {
 			continue
 		}
-		records, upTo := s.table.Changes(p.acked, !direct && !p.SameService, MaxRecords)
+		scope := Scope{PublicOnly: !direct && !p.SameService}
+		// What was learned goes only to nodes that turn out to lack it.
+		changes := Scope{PublicOnly: scope.PublicOnly, NotLearned: p.process == ""}
+		records, upTo := s.table.Changes(p.acked, changes, MaxRecords)
 		if len(records) == 0 && !chosen[p] {
-			p.acked = upTo
+			if p.process != "" {
+				p.acked = upTo
+			}
 			continue
 		}
 		p.busy = true
-		out = append(out, &Message{Peer: p.Address, Records: records, after: p.acked, upTo: upTo})
+		out = append(out, &Message{Peer: p.Address, Records: records, Scope: scope, Digest: s.table.Digest(scope), upTo: upTo})
 	}
 	return out
 }
 
-// Delivered records that a process has taken a message. It reports whether there is
-// more to send to the node at once.
-func (s *Sharing) Delivered(m *Message, process string) (more bool) {
+// Delivered records the reply to a message. It reports whether there is more to send to
+// the node at once.
+func (s *Sharing) Delivered(m *Message, r Reply) (more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.peers[m.Peer]
 	if p == nil {
 		return false
 	}
-	p.busy = false
-	restarted := p.process != process && m.after > 0
-	p.process = process
-	if restarted {
-		p.acked = 0
+	started := p.process != r.Process
+	p.busy, p.process = false, r.Process
+	if started && !r.Same {
+		p.acked = 0 // it lacks what others have told this node, or what its predecessor had
 		return true
 	}
 	p.acked = max(p.acked, m.upTo)
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -212,7 +212,7 @@
 		// The node that saw it tells the others. Those that are restarted get it from
 		// this one, too.
 		t.seq = max(t.seq, 1)
-		e.seq = t.seq
+		e.seq, e.learned = t.seq, true
 		t.update(now, e)
 	case e.seq == 0:
 		t.remove(e)
@@ -223,10 +223,22 @@
 	return record, turned
 }
 
+// Scope selects records of a Table.
+type Scope struct {
+	// PublicOnly leaves out what nodes of other services need not know: the requests
+	// that were never quarantined.
+	PublicOnly bool
+	// NotLearned leaves out the suspects of which other nodes have told.
+	NotLearned bool
+}
+
+func (s Scope) contains(e *entry) bool {
+	return e.public || !s.PublicOnly && (!s.NotLearned || !e.learned)
+}
+
 // Changes returns up to limit records that changed after a number, in the order of
-// their changes, and the number of the last change that they cover. PublicOnly leaves
-// out what nodes of other services need not know.
-func (t *Table) Changes(after uint64, publicOnly bool, limit int) (records []Record, upTo uint64) {
+// their changes, and the number of the last change that they cover.
+func (t *Table) Changes(after uint64, scope Scope, limit int) (records []Record, upTo uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if after >= t.seq {
@@ -234,7 +246,7 @@
 	}
 	var changed []*entry
 	for _, e := range t.entries {
-		if e.seq > after && (e.public || !publicOnly) {
+		if e.seq > after && scope.contains(e) {
 			changed = append(changed, e)
 		}
 	}
@@ -250,6 +262,20 @@
 	return records, upTo
 }
 
+// Digest returns a number by which two nodes find out whether their tables have the same
+// records.
+func (t *Table) Digest(scope Scope) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := uint64(0)
+	for _, e := range t.entries {
+		if scope.contains(e) {
+			sum ^= e.digest()
+		}
+	}
+	return sum
+}
+
 // List returns the suspects and the quarantined fingerprints, quarantined and most
 // recent ones first.
 func (t *Table) List() []Record {
@@ -288,7 +314,7 @@
 // held.
 func (t *Table) touch(now time.Time, e *entry) {
 	t.seq++
-	e.seq = t.seq
+	e.seq, e.learned = t.seq, false
 	t.update(now, e)
 }
 
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -101,7 +101,7 @@
 		table, other := quarantined(f), quarantined(f)
 		require.True(t, end(table, start.Add(time.Minute)), name)
 		assert.False(t, holds(table, f), name)
-		records, _ := table.Changes(0, true, MaxRecords)
+		records, _ := table.Changes(0, Scope{PublicOnly: true}, MaxRecords)
 		require.Len(t, records, 1)
 		_, turned := other.Merge(start.Add(time.Minute), records[0], time.Time{})
 		assert.True(t, turned, name)
@@ -128,12 +128,12 @@
 			to.Merge(now, r, time.Time{})
 		}
 	}
-	records, _ := a.Changes(0, false, MaxRecords)
+	records, _ := a.Changes(0, Scope{}, MaxRecords)
 	copyTo(b, records, 3*time.Millisecond)
-	records, _ = b.Changes(0, false, MaxRecords)
-	_, seq := a.Changes(0, false, MaxRecords)
+	records, _ = b.Changes(0, Scope{}, MaxRecords)
+	_, seq := a.Changes(0, Scope{}, MaxRecords)
 	copyTo(a, records, 3*time.Millisecond)
-	records, _ = a.Changes(seq, false, MaxRecords)
+	records, _ = a.Changes(seq, Scope{}, MaxRecords)
 	assert.Empty(t, records)
 }
 
--- a/node/gateway/processend.go
+++ b/node/gateway/processend.go
@@ -50,16 +50,17 @@
 // unansweredRun is a run that was given up, or that lost its connection to a process
 // which then still accepted connections.
 type unansweredRun struct {
-	run     *localRun
-	lost    bool // its connection was lost
-	endedAt time.Time
+	run      *localRun
+	lost     bool // its connection was lost
+	survived bool // the process has answered a request that was sent after the end
+	endedAt  time.Time
 }
 
 const (
 	// givenUpTime is how long after a request was given up an end of the process is
 	// held against it: the upstream may have gone on running it.
 	givenUpTime = time.Second
-	// restartTime is how long after the loss of a connection another incarnation shows
+	// restartTime is how long after a run without an answer another incarnation shows
 	// that the process had ended.
 	restartTime = 10 * time.Second
 	// maxUnanswered bounds the runs that are kept.
@@ -73,20 +74,18 @@
 	if len(d.unanswered) >= maxUnanswered {
 		d.unanswered = slices.Delete(d.unanswered, 0, maxUnanswered/2)
 	}
-	d.unanswered = append(d.unanswered, unansweredRun{run, lost, time.Now()})
+	d.unanswered = append(d.unanswered, unansweredRun{run: run, lost: lost, endedAt: time.Now()})
 }
 
-// onAnswer forgets the lost connections before the start of a run that was answered:
-// the process has survived them.
+// onAnswer notes that the process has survived what ended before the start of a run
+// that was answered.
 func (d *endDetector) onAnswer(run *localRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.unanswered) == 0 {
-		return
+	for i := range d.unanswered {
+		u := &d.unanswered[i]
+		u.survived = u.survived || u.run.instance.ID == run.instance.ID && u.endedAt.Before(run.startedAt)
 	}
-	d.unanswered = slices.DeleteFunc(d.unanswered, func(u unansweredRun) bool {
-		return u.lost && u.run.instance.ID == run.instance.ID && u.endedAt.Before(run.startedAt)
-	})
 }
 
 // givenUp removes and returns the runs that were given up shortly before an end.
@@ -96,12 +95,13 @@
 	})
 }
 
-// replaced removes and returns the runs that lost their connections shortly before
-// another incarnation than theirs was found at the address.
+// replaced removes and returns the runs that ended without an answer shortly before
+// another incarnation than theirs was found at the address, if theirs has answered
+// nothing since.
 func (d *endDetector) replaced(by advisory.Instance) []*localRun {
 	now := time.Now()
 	return d.take(func(u unansweredRun) bool {
-		return u.lost && precedes(u.run.instance, by) && now.Sub(u.endedAt) < restartTime
+		return !u.survived && precedes(u.run.instance, by) && now.Sub(u.endedAt) < restartTime
 	})
 }
 
@@ -231,13 +231,14 @@
 	}
 }
 
-// onNextIncarnation blames the requests that lost their connections to an incarnation
-// which was replaced without a leave, so fast that no connection was refused.
+// onNextIncarnation blames the requests that an incarnation has left without an answer
+// which was replaced without a leave, while no connection was refused: it was replaced
+// very fast, or fell silent.
 func (g *Gateway) onNextIncarnation(next advisory.Instance) {
 	for _, run := range g.processEnds.replaced(next) {
 		end := &processEnd{instance: run.instance, at: time.Now()}
 		g.cfg.Logger.Warn("upstream process ended", "upstream", run.instance.ID, "started_at_ms", run.instance.StartedAt,
-			"service", g.cfg.Service, "evidence", "connection lost, then replaced by "+next.ID)
+			"service", g.cfg.Service, "evidence", "no answer, then replaced by "+next.ID)
 		g.blame(run, end)
 	}
 }
--- a/node/gateway/quarantine_test.go
+++ b/node/gateway/quarantine_test.go
@@ -52,14 +52,21 @@
 	assert.Equal(t, verdict.NotRun, r.meta.verdict())
 }
 
-// Guards against an upstream that crashes and is back so fast that no connection is refused.
+// Guards against an upstream that crashes and is back so fast that no connection is refused, or that falls silent.
 func TestReplacedIncarnationHasCrashed(t *testing.T) {
-	for name, next := range map[string]advisory.Instance{"another ID": {ID: "next", StartedAt: 20}, "same ID": {ID: "own", StartedAt: 20}} {
+	for name, tt := range map[string]struct {
+		next advisory.Instance
+		lost bool
+	}{
+		"another ID": {advisory.Instance{ID: "next", StartedAt: 20}, true},
+		"same ID":    {advisory.Instance{ID: "own", StartedAt: 20}, true},
+		"silent":     {advisory.Instance{ID: "next", StartedAt: 20}, false},
+	} {
 		g := testGateway()
 		g.SetLocalUpstream(directory.LocalUpstream{ID: "own", StartedAt: time.UnixMilli(10)})
 		run := &localRun{forward: localForward(), instance: advisory.Instance{ID: "own", StartedAt: 10}, startedAt: time.Now()}
-		g.processEnds.remember(run, true)
-		g.SetLocalUpstream(directory.LocalUpstream{ID: next.ID, StartedAt: time.UnixMilli(next.StartedAt)})
+		g.processEnds.remember(run, tt.lost)
+		g.SetLocalUpstream(directory.LocalUpstream{ID: tt.next.ID, StartedAt: time.UnixMilli(tt.next.StartedAt)})
 		record, known := g.quarantine.Get(run.forward.fingerprint())
 		require.True(t, known, name)
 		assert.Equal(t, 1, record.Counted(), name)
--- a/node/gateway/quarantineshare.go
+++ b/node/gateway/quarantineshare.go
@@ -124,7 +124,7 @@
 func (s *quarantineSharing) send(m *quarantine.Message) {
 	s.slots <- struct{}{}
 	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
-	process, err := s.exchange(ctx, m)
+	reply, err := s.exchange(ctx, m)
 	cancel()
 	<-s.slots
 	if err != nil {
@@ -132,19 +132,21 @@
 		s.decide.Failed(m)
 		return
 	}
-	if s.decide.Delivered(m, process) {
+	if s.decide.Delivered(m, reply) {
 		s.wake()
 	}
 }
 
-// shareReply is the response to a message.
-type shareReply struct {
-	Process string `json:"process"`
+// shareMessage is the wire form of a quarantine.Message.
+type shareMessage struct {
+	Records    []recordMessage `json:"records,omitempty"`
+	PublicOnly bool            `json:"public,omitempty"`
+	Digest     uint64          `json:"digest"`
 }
 
-// exchange sends a message and returns the process that took it.
-func (s *quarantineSharing) exchange(ctx context.Context, m *quarantine.Message) (process string, err error) {
-	body := []byte(encode(toMessage(time.Now(), m.Records)))
+// exchange sends a message and returns the reply.
+func (s *quarantineSharing) exchange(ctx context.Context, m *quarantine.Message) (reply quarantine.Reply, err error) {
+	body := []byte(encode(&shareMessage{toMessage(time.Now(), m.Records), m.Scope.PublicOnly, m.Digest}))
 	s.gateway.cfg.Metrics.quarantineMessages.Inc()
 	s.gateway.cfg.Metrics.quarantineBytes.Add(float64(len(body)))
 	response, err := s.gateway.peerPool.Do(ctx, m.Peer, &http1.Request{
@@ -152,21 +154,20 @@
 		Extra: []http1.Field{{Name: forwardHeader, Value: encode(&forwardMeta{Sender: s.gateway.selfAddress})}},
 	})
 	if err != nil {
-		return "", err
+		return reply, err
 	}
 	text, complete, err := response.ReadBody(maxAnswerHead)
 	if err != nil {
-		return "", err
+		return reply, err
 	}
 	if !complete || response.Status != http.StatusOK {
 		response.Close()
-		return "", fmt.Errorf("status %d", response.Status)
+		return reply, fmt.Errorf("status %d", response.Status)
 	}
-	var r shareReply
-	if err := json.Unmarshal(text, &r); err != nil {
-		return "", fmt.Errorf("reply of a node: %w", err)
+	if err := json.Unmarshal(text, &reply); err != nil {
+		return reply, fmt.Errorf("reply of a node: %w", err)
 	}
-	return r.Process, nil
+	return reply, nil
 }
 
 // receiveQuarantine merges the changes of another node's table.
@@ -176,14 +177,14 @@
 		x.Abort()
 		return
 	}
-	var records []recordMessage
-	if !complete || json.Unmarshal(body, &records) != nil {
+	var message shareMessage
+	if !complete || json.Unmarshal(body, &message) != nil {
 		x.CloseAfter()
 		_ = x.Respond(http1.NewServerResponse(http.StatusBadRequest, nil, nil))
 		return
 	}
 	now := time.Now()
-	for _, m := range records[:min(len(records), quarantine.MaxRecords)] {
+	for _, m := range message.Records[:min(len(message.Records), quarantine.MaxRecords)] {
 		answer, _ := g.answered.Get(m.Fingerprint)
 		record, turned := g.quarantine.Merge(now, m.record(now), answer.At)
 		switch {
@@ -193,7 +194,10 @@
 			g.cfg.Logger.Info("request cleared", "fingerprint", record.Fingerprint.Short(), "by", record.ClearedBy, "source", "node "+meta.Sender)
 		}
 	}
-	_ = x.Respond(http1.NewServerResponse(http.StatusOK, nil, []byte(encode(shareReply{Process: g.sharing.process}))))
+	reply := quarantine.Reply{
+		Process: g.sharing.process, Same: g.quarantine.Digest(quarantine.Scope{PublicOnly: message.PublicOnly}) == message.Digest,
+	}
+	_ = x.Respond(http1.NewServerResponse(http.StatusOK, nil, []byte(encode(&reply))))
 }
 
 // recordMessage is the wire form of a quarantine.Record. Times are sent as ages, since
