gateway: a safe request costs two upstreams at most, also before the nodes have told each other

With three attempts a request could crash three upstreams within milliseconds, as each node in front of an upstream counted one crash. The entry counts its own attempts, too. TestRetriesOfOneRequestCostTwoUpstreamsAtMost failed 5 of 5 times before (3 crashes).

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -40,6 +40,7 @@
 	deadline             time.Time
 	attempts             int             // attempts that may have reached an upstream
 	nodesTried           int             // attempts sent to nodes
+	crashes              int             // attempts under which an upstream crashed, if the request is suspected
 	mayHaveRun           bool            // in one of the attempts
 	tried                map[string]bool // IDs of the upstreams that were tried
 	routing              routingInputs
@@ -295,6 +296,9 @@
 	if !notRun {
 		q.mayHaveRun = true
 	}
+	if r.meta.Crashes > 0 {
+		q.crashes++
+	}
 	return r
 }
 
@@ -343,7 +347,7 @@
 	case verdict.NoUpstream, verdict.Cancelled, verdict.DeadlinePassed, verdict.Quarantined:
 		return false
 	}
-	if r.meta.Crashes >= maxCrashesToRetry {
+	if max(r.meta.Crashes, q.crashes) >= maxCrashesToRetry {
 		return false
 	}
 	if notRun && !r.meta.ReachedUpstream {
--- a/node/gateway/processend.go
+++ b/node/gateway/processend.go
@@ -222,8 +222,7 @@
 	case end != nil:
 		r.meta.Crashes = g.blame(run, end)
 		r.meta.Reason = verdict.UpstreamCrashed
-		r.meta.Detail = fmt.Sprintf("upstream process ended; request %s was running, as at %d crashes since its last answer",
-			run.forward.fingerprint().Short(), r.meta.Crashes)
+		r.meta.Detail = fmt.Sprintf("upstream process ended; crashes under request %s: %d", run.forward.fingerprint().Short(), r.meta.Crashes)
 	case http1.ConnectionLost(err):
 		g.processEnds.remember(run, true)
 	case errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded):
