--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"toucangw.example/core/advisory"
-	"toucangw.example/core/calltree"
 	"toucangw.example/core/concurrency"
 	"toucangw.example/core/verdict"
 	"toucangw.example/node/http1"
@@ -174,89 +172,6 @@
 	return r
 }
 
-// run sends a request to the local upstream and frees its slot at the end.
-func (g *Gateway) run(ctx context.Context, f *forward, req *concurrency.Request) *reply {
-	started := time.Now()
-	left := f.deadline.Sub(started)
-	if left < minTimeLeft {
-		g.release(req, 0)
-		return failed(verdict.NotRun, verdict.DeadlineUnmet, "no time left")
-	}
-	parent := &calltree.Parent{
-		ID: f.requestID, Deadline: f.deadline, Priority: f.meta.Priority, RootRoute: f.meta.RootRoute, Route: f.meta.Route,
-		Retry: f.meta.Retry, AdmissionProbability: f.meta.AdmissionProbability,
-	}
-	g.callTree.Add(started, parent)
-	end := func(service time.Duration) {
-		g.callTree.Remove(parent)
-		g.release(req, service)
-		g.localDurations.Observe(time.Now(), f.meta.Route, time.Since(started))
-		g.demand.OnComplete(f.meta.RootRoute, time.Since(started))
-	}
-	g.cfg.Metrics.upstreamSent.Inc()
-	g.limitedTraffic.onRequest(started, f.meta.Sender, g.announced.current(f.instance()).Limit)
-	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(upstreamGrace))
-	instance := g.presentInstance(f) // that of the send: the upstream may restart meanwhile
-	run := &localRun{forward: f, instance: instance, startedAt: started}
-	response, err := g.upstreamPool.Do(ctx, g.cfg.Upstream.String(), g.upstreamRequest(f, left))
-	if err != nil {
-		defer cancel()
-		end(0)
-		r := classifyUpstreamError(ctx, err)
-		g.onRunLost(run, r, err)
-		return r
-	}
-	r := g.readAnswer(instance, response)
-	r.meta.WaitedUS = req.Waited(started).Microseconds()
-	r.meta.ReachedUpstream = true
-	if r.answer == nil || r.answer.Stream == nil {
-		cancel()
-		r.meta.ServiceUS = time.Since(started).Microseconds()
-		service := serviceTime(r, started)
-		g.cfg.Metrics.upstreamTime.Observe(service.Seconds())
-		end(service)
-		if r.answer == nil {
-			g.onRunLost(run, r, r.lost)
-		} else {
-			g.onRunAnswered(run, r.answer.Status)
-		}
-		return r
-	}
-	r.meta.ServiceUS = time.Since(started).Microseconds()
-	stream := &watchedReader{r: r.answer.Stream}
-	r.answer.Stream = stream
-	r.finish = func(complete bool) {
-		if complete {
-			response.Finish()
-		} else {
-			response.Close()
-		}
-		cancel()
-		end(0)
-		if complete {
-			g.onRunAnswered(run, r.answer.Status)
-		} else {
-			g.onRunLost(run, r, stream.err)
-		}
-	}
-	return r
-}
-
-// watchedReader keeps the error of a reader.
-type watchedReader struct {
-	r   io.Reader
-	err error
-}
-
-// Read implements io.Reader.
-func (w *watchedReader) Read(p []byte) (int, error) {
-	n, err := w.r.Read(p)
-	if err != nil && err != io.EOF {
-		w.err = err
-	}
-	return n, err
-}
-
 // serviceTime returns the time since the start of an answered attempt, and zero
 // for an attempt without an answer.
 func serviceTime(r *reply, started time.Time) time.Duration {
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -44,52 +44,20 @@
 			Help:    "Time from the request's head to the end of its answer.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 		}, []string{"kind"}),
-		version: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "toucangw_gateway_config_version",
-			Help: "Version of the active configuration.",
-		}),
+		version: gauge("toucangw_gateway_config_version", "Version of the active configuration."),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "toucangw_gateway_store_calls_total",
 			Help: "Calls to the store, by call and outcome.",
 		}, []string{"call", "outcome"}),
-		queueTime: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name:    "toucangw_gateway_queue_duration_seconds",
-			Help:    "Time that requests for the local upstream waited for a slot.",
-			Buckets: []float64{.001, .005, .01, .02, .05, .1, .2, .5, 1, 2},
-		}),
-		upstreamTime: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name:    "toucangw_gateway_upstream_duration_seconds",
-			Help:    "Time that the local upstream needed for its answers.",
-			Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
-		}),
-		panics: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "toucangw_gateway_panics_total",
-			Help: "Panics that ended a request or a read of the store. Each is a fault of the program.",
-		}),
-		upstreamSent: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "toucangw_gateway_upstream_requests_total",
-			Help: "Requests sent to the local upstream.",
-		}),
-		rateLimit: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "toucangw_gateway_upstream_rate_limit",
-			Help: "Requests per second that the local upstream announces to take; 0 without a limit.",
-		}),
-		upstreamEnds: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "toucangw_gateway_upstream_process_ends_total",
-			Help: "Unplanned ends of the local upstream's process while requests were running.",
-		}),
-		quarantineMessages: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "toucangw_gateway_quarantine_messages_total",
-			Help: "Messages to other nodes about requests that crashed upstreams.",
-		}),
-		quarantineBytes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "toucangw_gateway_quarantine_bytes_total",
-			Help: "Bytes of the bodies of these messages.",
-		}),
-		omitted: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "toucangw_gateway_log_lines_omitted_total",
-			Help: "Decision log lines omitted because of the byte budget.",
-		}),
+		queueTime:          histogram("toucangw_gateway_queue_duration_seconds", "Time that requests for the local upstream waited for a slot.", .001, .005, .01, .02, .05, .1, .2, .5, 1, 2),
+		upstreamTime:       histogram("toucangw_gateway_upstream_duration_seconds", "Time that the local upstream needed for its answers.", .005, .01, .02, .05, .1, .2, .5, 1, 2, 5),
+		panics:             counter("toucangw_gateway_panics_total", "Panics that ended a request or a read of the store. Each is a fault of the program."),
+		upstreamSent:       counter("toucangw_gateway_upstream_requests_total", "Requests sent to the local upstream."),
+		rateLimit:          gauge("toucangw_gateway_upstream_rate_limit", "Requests per second that the local upstream announces to take; 0 without a limit."),
+		upstreamEnds:       counter("toucangw_gateway_upstream_process_ends_total", "Unplanned ends of the local upstream's process while requests were running."),
+		quarantineMessages: counter("toucangw_gateway_quarantine_messages_total", "Messages to other nodes about requests that crashed upstreams."),
+		quarantineBytes:    counter("toucangw_gateway_quarantine_bytes_total", "Bytes of the bodies of these messages."),
+		omitted:            counter("toucangw_gateway_log_lines_omitted_total", "Decision log lines omitted because of the byte budget."),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.version, m.storeCalls, m.queueTime, m.upstreamTime, m.omitted, m.panics,
 		m.upstreamSent, m.rateLimit, m.upstreamEnds, m.quarantineMessages, m.quarantineBytes)
@@ -97,6 +65,18 @@
 	return m
 }
 
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
+func histogram(name, help string, buckets ...float64) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets})
+}
+
 // initialise creates the most common series, so that a rate over them is zero
 // instead of absent before the first event.
 func (m *Metrics) initialise() {
--- a/node/gateway/processend.go
+++ b/node/gateway/processend.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"toucangw.example/core/advisory"
-	"toucangw.example/core/quarantine"
 	"toucangw.example/core/verdict"
 	"toucangw.example/node/http1"
 )
@@ -17,13 +16,6 @@
 // endCheckTimeout bounds the check whether the local upstream's process has ended.
 const endCheckTimeout = 300 * time.Millisecond
 
-// localRun is a request that was sent to the local upstream.
-type localRun struct {
-	forward   *forward
-	instance  advisory.Instance
-	startedAt time.Time
-}
-
 // processEnd is the end of a process of the local upstream that was not planned.
 type processEnd struct {
 	instance advisory.Instance
@@ -241,14 +233,3 @@
 		g.blame(run, end)
 	}
 }
-
-// fingerprint returns the fingerprint of the request.
-func (f *forward) fingerprint() quarantine.Fingerprint {
-	if f.print == nil {
-		print := quarantine.FingerprintOf(&quarantine.Request{
-			Method: f.method, Host: f.host, Target: f.target, Caller: f.meta.Origin, Length: f.length, Body: f.body,
-		})
-		f.print = &print
-	}
-	return *f.print
-}
--- a/node/gateway/quarantine.go
+++ b/node/gateway/quarantine.go
@@ -136,3 +136,14 @@
 	}
 	return g.quarantine.Quarantined(now, f.fingerprint())
 }
+
+// fingerprint returns the fingerprint of the request.
+func (f *forward) fingerprint() quarantine.Fingerprint {
+	if f.print == nil {
+		print := quarantine.FingerprintOf(&quarantine.Request{
+			Method: f.method, Host: f.host, Target: f.target, Caller: f.meta.Origin, Length: f.length, Body: f.body,
+		})
+		f.print = &print
+	}
+	return *f.print
+}
