gateway: a queued request is not sent to an upstream that has begun to leave

The node asked only at the arrival of a request whether the upstream leaves. It asks again when the request gets its slot, and refuses it as not run, so that its sender tries another one.

--- a/node/gateway/local.go
+++ b/node/gateway/local.go
@@ -133,9 +133,24 @@
 	if refusal := g.refuseLateWork(f); refusal != nil {
 		return refusal
 	}
+	if refusal := g.refuseLeaving(f); refusal != nil {
+		return refusal
+	}
 	return g.refuseQuarantined(f)
 }
 
+// refuseLeaving returns a refusal if the upstream that is to run the request leaves or
+// has left.
+func (g *Gateway) refuseLeaving(f *forward) *verdict.Refusal {
+	if g.announced.current(f.instance()).Leaving {
+		return verdict.Refuse(verdict.Leaving, "upstream announces that it leaves")
+	}
+	if local := g.localUpstream.Load(); local != nil && local.Left(f.meta.Upstream, time.UnixMilli(f.meta.StartedAt)) {
+		return verdict.Refuse(verdict.Leaving, "upstream leaves or is gone")
+	}
+	return nil
+}
+
 // rejectNewWork returns a refusal if the local upstream takes no new requests or
 // is not the one that is to run the request.
 func (g *Gateway) rejectNewWork(f *forward) *verdict.Refusal {
@@ -148,13 +163,7 @@
 	if refusal := g.refuseLateWork(f); refusal != nil {
 		return refusal
 	}
-	if g.announced.current(f.instance()).Leaving {
-		return verdict.Refuse(verdict.Leaving, "upstream announces that it leaves")
-	}
-	if local := g.localUpstream.Load(); local != nil && local.Left(f.meta.Upstream, time.UnixMilli(f.meta.StartedAt)) {
-		return verdict.Refuse(verdict.Leaving, "upstream leaves or is gone")
-	}
-	return nil
+	return g.refuseLeaving(f)
 }
 
 // runAtMostOnce runs an at-most-once request. It continues if the connection to
