gateway: a quarantined call is no sign of a lack of room

A refused call made the node shed requests of its root route; one that is refused because it crashes upstreams says nothing of the room of its service. TestQuarantinedCallShedsNoRequests failed before.

--- a/node/gateway/admission.go
+++ b/node/gateway/admission.go
@@ -89,7 +89,7 @@
 
 // updateAdmission records the result of a call for the root admission of further
 // requests of its root route. Nothing is recorded for root requests, for calls
-// that were cancelled or have expired, and for answers whose reply contained the
+// that were cancelled, have expired or are quarantined, and for answers whose reply contained the
 // probability or omitted all probabilities.
 func (g *Gateway) updateAdmission(q *request, r *reply) {
 	if q.parent == nil {
@@ -109,7 +109,7 @@
 		return
 	}
 	switch r.meta.Reason {
-	case verdict.Cancelled, verdict.DeadlinePassed:
+	case verdict.Cancelled, verdict.DeadlinePassed, verdict.Quarantined:
 	default:
 		g.probabilities.OnFailure(now, q.service, q.rootRoute)
 	}
--- a/node/gateway/admission_test.go
+++ b/node/gateway/admission_test.go
@@ -9,6 +9,7 @@
 	"toucangw.example/core/admissionprob"
 	"toucangw.example/core/calltree"
 	"toucangw.example/core/routetable"
+	"toucangw.example/core/verdict"
 	"toucangw.example/node/http1"
 )
 
@@ -47,3 +48,13 @@
 	g.updateAdmission(q, answered)
 	assert.Greater(t, g.probabilities.Probability(now, "root"), before+0.05)
 }
+
+// Guards against requests of clients being shed because one of their calls is refused as a crashing request.
+func TestQuarantinedCallShedsNoRequests(t *testing.T) {
+	g := testGateway()
+	q := &request{parent: &calltree.Parent{}, service: "deep", rootRoute: "root", route: &routetable.Route{}}
+	for range 20 {
+		g.updateAdmission(q, rejected(verdict.Refuse(verdict.Quarantined, "")))
+	}
+	assert.InDelta(t, 1, g.probabilities.Probability(time.Now(), "root"), 0.01)
+}
