gateway: remember of unanswered runs what blames them, not the requests

A small value is kept now. A client that leaves early no longer counts as silence of an upstream that is replaced later. The lines and the metric of an end are the same for both kinds of evidence.

--- a/node/gateway/log.go
+++ b/node/gateway/log.go
@@ -122,11 +122,10 @@
 // suspect logs a request that was running at the local upstream when its process ended.
 // Crashes is the number of crashes since an equal request was answered; innocent says why
 // the request is not suspected.
-func (l *decisionLog) suspect(run *localRun, end *processEnd, crashes int, innocent string) {
-	f := run.forward
+func (l *decisionLog) suspect(s *suspect, end *processEnd, crashes int, innocent string) {
 	l.write(logBudget, "running at the end of an upstream", []any{
-		"request", f.requestID, "fingerprint", f.fingerprint().Short(), "route", f.meta.Route, "caller", f.meta.Origin,
-		"upstream", end.instance.ID, "started_at_ms", end.instance.StartedAt, "ran_us", end.at.Sub(run.startedAt).Microseconds(),
+		"request", s.subject.RequestID, "fingerprint", s.fingerprint.Short(), "route", s.subject.Route, "caller", s.subject.Caller,
+		"upstream", end.instance.ID, "started_at_ms", end.instance.StartedAt, "ran_us", end.at.Sub(s.startedAt).Microseconds(),
 		"crashes", crashes, "innocent", innocent,
 	})
 }
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -45,7 +45,7 @@
 	length               int64 // of body and stream together; -1 if unknown
 	requestID            string
 	deadline             time.Time
-	print                *quarantine.Fingerprint // set by fingerprint
+	fingerprinted        *quarantine.Fingerprint // set by fingerprint
 	probe                bool                    // runs although equal requests are quarantined
 }
 
--- a/node/gateway/processend.go
+++ b/node/gateway/processend.go
@@ -23,8 +23,8 @@
 }
 
 // covers reports whether a run was at the process that has ended.
-func (e *processEnd) covers(run *localRun) bool {
-	return e.instance.ID == run.instance.ID && run.startedAt.Before(e.at)
+func (e *processEnd) covers(i advisory.Instance, startedAt time.Time) bool {
+	return e.instance.ID == i.ID && startedAt.Before(e.at)
 }
 
 // endDetector finds out whether the process of the local upstream has ended when
@@ -42,14 +42,14 @@
 // unansweredRun is a run that was given up, or that lost its connection to a process
 // which then still accepted connections.
 type unansweredRun struct {
-	run      *localRun
-	lost     bool // its connection was lost
+	suspect  suspect
+	left     bool // its sender gave it up before its deadline
 	survived bool // the process has answered a request that was sent after the end
 	endedAt  time.Time
 }
 
 const (
-	// givenUpTime is how long after a request was given up an end of the process is
+	// givenUpTime is how long after a run without an answer an end of the process is
 	// held against it: the upstream may have gone on running it.
 	givenUpTime = time.Second
 	// restartTime is how long after a run without an answer another incarnation shows
@@ -60,13 +60,13 @@
 )
 
 // remember keeps a run that ended without an answer.
-func (d *endDetector) remember(run *localRun, lost bool) {
+func (d *endDetector) remember(s suspect, left bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.unanswered) >= maxUnanswered {
 		d.unanswered = slices.Delete(d.unanswered, 0, maxUnanswered/2)
 	}
-	d.unanswered = append(d.unanswered, unansweredRun{run: run, lost: lost, endedAt: time.Now()})
+	d.unanswered = append(d.unanswered, unansweredRun{suspect: s, left: left, endedAt: time.Now()})
 }
 
 // onAnswer notes that the process has survived what ended before the start of a run
@@ -76,24 +76,25 @@
 	defer d.mu.Unlock()
 	for i := range d.unanswered {
 		u := &d.unanswered[i]
-		u.survived = u.survived || u.run.instance.ID == run.instance.ID && u.endedAt.Before(run.startedAt)
+		u.survived = u.survived || u.suspect.instance.ID == run.instance.ID && u.endedAt.Before(run.startedAt)
 	}
 }
 
-// givenUp removes and returns the runs that were given up shortly before an end.
-func (d *endDetector) givenUp(end *processEnd) []*localRun {
+// givenUp removes and returns the runs that ended without an answer shortly before an
+// end.
+func (d *endDetector) givenUp(end *processEnd) []suspect {
 	return d.take(func(u unansweredRun) bool {
-		return !u.lost && end.covers(u.run) && end.at.Sub(u.endedAt) < givenUpTime
+		return end.covers(u.suspect.instance, u.suspect.startedAt) && end.at.Sub(u.endedAt) < givenUpTime
 	})
 }
 
 // replaced removes and returns the runs that ended without an answer shortly before
 // another incarnation than theirs was found at the address, if theirs has answered
 // nothing since.
-func (d *endDetector) replaced(by advisory.Instance) []*localRun {
+func (d *endDetector) replaced(by advisory.Instance) []suspect {
 	now := time.Now()
 	return d.take(func(u unansweredRun) bool {
-		return !u.survived && precedes(u.run.instance, by) && now.Sub(u.endedAt) < restartTime
+		return !u.left && !u.survived && precedes(u.suspect.instance, by) && now.Sub(u.endedAt) < restartTime
 	})
 }
 
@@ -106,13 +107,13 @@
 	return i.StartedAt > 0 && i.StartedAt < next.StartedAt
 }
 
-func (d *endDetector) take(match func(unansweredRun) bool) []*localRun {
+func (d *endDetector) take(match func(unansweredRun) bool) []suspect {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []*localRun
+	var out []suspect
 	d.unanswered = slices.DeleteFunc(d.unanswered, func(u unansweredRun) bool {
 		if match(u) {
-			out = append(out, u.run)
+			out = append(out, u.suspect)
 			return true
 		}
 		return false
@@ -132,7 +133,7 @@
 	lostAt := time.Now()
 	for {
 		d.mu.Lock()
-		if d.last != nil && d.last.covers(run) {
+		if d.last != nil && d.last.covers(run.instance, run.startedAt) {
 			defer d.mu.Unlock()
 			return d.last, first
 		}
@@ -169,7 +170,7 @@
 func (d *endDetector) lastCovering(run *localRun) *processEnd {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.last == nil || !d.last.covers(run) {
+	if d.last == nil || !d.last.covers(run.instance, run.startedAt) {
 		return nil
 	}
 	return d.last
@@ -187,9 +188,7 @@
 		return g.upstreamPool.Refused(ctx, g.cfg.Upstream.String())
 	})
 	if first {
-		g.cfg.Metrics.upstreamEnds.Inc()
-		g.cfg.Logger.Warn("upstream process ended", "upstream", end.instance.ID, "started_at_ms", end.instance.StartedAt,
-			"service", g.cfg.Service, "evidence", "connection lost, then refused", "running", g.load().Running+1)
+		g.logUpstreamEnd(end.instance, "connection lost, then refused", g.load().Running+1)
 		for _, other := range g.processEnds.givenUp(end) {
 			g.blame(other, end)
 		}
@@ -197,6 +196,12 @@
 	return end
 }
 
+func (g *Gateway) logUpstreamEnd(i advisory.Instance, evidence string, running int) {
+	g.cfg.Metrics.upstreamEnds.Inc()
+	g.cfg.Logger.Warn("upstream process ended", "upstream", i.ID, "started_at_ms", i.StartedAt,
+		"service", g.cfg.Service, "evidence", evidence, "running", running)
+}
+
 // leaves reports whether an incarnation of the local upstream has told that it leaves.
 func (g *Gateway) leaves(i advisory.Instance) bool {
 	if g.upstreamClosed.Load() || g.announced.current(i).Leaving {
@@ -212,13 +217,13 @@
 	end := g.upstreamEnd(run, err)
 	switch {
 	case end != nil:
-		r.meta.Crashes = g.blame(run, end)
+		r.meta.Crashes = g.blame(run.suspect(g.cfg.Service), end)
 		r.meta.Reason = verdict.UpstreamCrashed
 		r.meta.Detail = fmt.Sprintf("upstream process ended; crashes under request %s: %d", run.forward.fingerprint().Short(), r.meta.Crashes)
-	case http1.ConnectionLost(err):
-		g.processEnds.remember(run, true)
-	case errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded):
-		g.processEnds.remember(run, false)
+	case http1.ConnectionLost(err) || errors.Is(err, context.DeadlineExceeded):
+		g.processEnds.remember(run.suspect(g.cfg.Service), false)
+	case errors.Is(err, context.Canceled):
+		g.processEnds.remember(run.suspect(g.cfg.Service), true)
 	}
 }
 
@@ -226,10 +231,13 @@
 // which was replaced without a leave, while no connection was refused: it was replaced
 // very fast, or fell silent.
 func (g *Gateway) onNextIncarnation(next advisory.Instance) {
-	for _, run := range g.processEnds.replaced(next) {
-		end := &processEnd{instance: run.instance, at: time.Now()}
-		g.cfg.Logger.Warn("upstream process ended", "upstream", run.instance.ID, "started_at_ms", run.instance.StartedAt,
-			"service", g.cfg.Service, "evidence", "no answer, then replaced by "+next.ID)
-		g.blame(run, end)
+	suspects := g.processEnds.replaced(next)
+	if len(suspects) == 0 {
+		return
+	}
+	end := &processEnd{instance: suspects[0].instance, at: time.Now()}
+	g.logUpstreamEnd(end.instance, "no answer, then replaced by "+next.ID, len(suspects))
+	for _, s := range suspects {
+		g.blame(s, end)
 	}
 }
--- a/node/gateway/quarantine.go
+++ b/node/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"toucangw.example/core/advisory"
 	"toucangw.example/core/directory"
 	"toucangw.example/core/quarantine"
 	"toucangw.example/core/verdict"
@@ -14,22 +15,37 @@
 // requests. They get no answer before an upstream is replaced or corrected.
 const quarantineRetryAfter = time.Minute
 
+// suspect is a request that was running at the local upstream when its process ended,
+// or that may have been.
+type suspect struct {
+	fingerprint quarantine.Fingerprint
+	subject     quarantine.Subject
+	instance    advisory.Instance
+	startedAt   time.Time
+}
+
+// suspect returns the run as a suspect. Service is that of the local upstream.
+func (run *localRun) suspect(service string) suspect {
+	f := run.forward
+	return suspect{
+		fingerprint: f.fingerprint(), instance: run.instance, startedAt: run.startedAt,
+		subject: quarantine.Subject{Service: service, Route: f.meta.Route, Caller: f.meta.Origin, RequestID: f.requestID},
+	}
+}
+
 // blame records that a request was running at the local upstream when its process
 // ended. It returns the number of incarnations that have crashed under the request
 // since it was last answered.
-func (g *Gateway) blame(run *localRun, end *processEnd) (crashes int) {
-	f := run.forward
-	print := f.fingerprint()
-	answer, answered := g.answered.Get(print)
+func (g *Gateway) blame(s suspect, end *processEnd) (crashes int) {
+	answer, answered := g.answered.Get(s.fingerprint)
 	if answered && answer.Upstream == end.instance {
-		g.log.suspect(run, end, 0, "this process has answered equal requests")
+		g.log.suspect(&s, end, 0, "this process has answered equal requests")
 		return 0
 	}
-	now := time.Now()
-	record, quarantines := g.quarantine.OnCrash(now, print,
-		quarantine.Subject{Service: g.cfg.Service, Route: f.meta.Route, Caller: f.meta.Origin, RequestID: f.requestID},
-		quarantine.Crash{Upstream: end.instance, Version: g.softwareVersion(end.instance.ID), Node: g.cfg.Host, At: end.at, AnsweredBefore: answered})
-	g.log.suspect(run, end, record.Counted(), "")
+	record, quarantines := g.quarantine.OnCrash(time.Now(), s.fingerprint, s.subject, quarantine.Crash{
+		Upstream: end.instance, Version: g.softwareVersion(end.instance.ID), Node: g.cfg.Host, At: end.at, AnsweredBefore: answered,
+	})
+	g.log.suspect(&s, end, record.Counted(), "")
 	if quarantines {
 		g.logQuarantine(record, "own upstream")
 	}
@@ -139,11 +155,11 @@
 
 // fingerprint returns the fingerprint of the request.
 func (f *forward) fingerprint() quarantine.Fingerprint {
-	if f.print == nil {
-		print := quarantine.FingerprintOf(&quarantine.Request{
+	if f.fingerprinted == nil {
+		id := quarantine.FingerprintOf(&quarantine.Request{
 			Method: f.method, Host: f.host, Target: f.target, Caller: f.meta.Origin, Length: f.length, Body: f.body,
 		})
-		f.print = &print
+		f.fingerprinted = &id
 	}
-	return *f.print
+	return *f.fingerprinted
 }
--- a/node/gateway/quarantine_test.go
+++ b/node/gateway/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -27,6 +28,16 @@
 	}
 }
 
+// liveGateway returns a gateway whose upstream accepts connections.
+func liveGateway(t *testing.T) *Gateway {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	g := testGateway()
+	g.cfg.Upstream = netip.MustParseAddrPort(lis.Addr().String())
+	return g
+}
+
 func localForward() *forward {
 	return &forward{meta: forwardMeta{Service: "s", Upstream: "own"}, method: "GET", target: "/1", header: http.Header{}, deadline: time.Now().Add(time.Second)}
 }
@@ -35,16 +46,17 @@
 func TestReplacedIncarnationHasCrashed(t *testing.T) {
 	for name, tt := range map[string]struct {
 		next advisory.Instance
-		lost bool
+		err  error
 	}{
-		"another ID": {advisory.Instance{ID: "next", StartedAt: 20}, true},
-		"same ID":    {advisory.Instance{ID: "own", StartedAt: 20}, true},
-		"silent":     {advisory.Instance{ID: "next", StartedAt: 20}, false},
+		"another ID": {advisory.Instance{ID: "next", StartedAt: 20}, io.EOF},
+		"same ID":    {advisory.Instance{ID: "own", StartedAt: 20}, io.EOF},
+		"silent":     {advisory.Instance{ID: "next", StartedAt: 20}, context.DeadlineExceeded},
 	} {
-		g := testGateway()
+		g := liveGateway(t)
 		g.SetLocalUpstream(directory.LocalUpstream{ID: "own", StartedAt: time.UnixMilli(10)})
 		run := &localRun{forward: localForward(), instance: advisory.Instance{ID: "own", StartedAt: 10}, startedAt: time.Now()}
-		g.processEnds.remember(run, tt.lost)
+		g.onRunLost(run, &reply{}, tt.err)
+		require.True(t, g.quarantine.Empty(), name)
 		g.SetLocalUpstream(directory.LocalUpstream{ID: tt.next.ID, StartedAt: time.UnixMilli(tt.next.StartedAt)})
 		record, known := g.quarantine.Get(run.forward.fingerprint())
 		require.True(t, known, name)
@@ -54,9 +66,9 @@
 
 // Guards against a lost connection that is taken for a crash although the process has answered since.
 func TestProcessThatAnsweredAfterALossHasNotCrashed(t *testing.T) {
-	g := testGateway()
+	g := liveGateway(t)
 	own := advisory.Instance{ID: "own", StartedAt: 10}
-	g.processEnds.remember(&localRun{forward: localForward(), instance: own, startedAt: time.Now()}, true)
+	g.onRunLost(&localRun{forward: localForward(), instance: own, startedAt: time.Now()}, &reply{}, io.EOF)
 	other := localForward()
 	other.target = "/2"
 	g.onRunAnswered(&localRun{forward: other, instance: own, startedAt: time.Now().Add(time.Millisecond)}, http.StatusOK)
