soak: a run that a crash cut within its body has a part of it

The logs show uploads of 300 KiB in progress when the upstream was crashed by another request ("running at the end of an upstream", 1 to 2 ms after their start): the stand-in recorded the part that it had read as the body. It marks such runs now; their body must be a beginning of what was sent, and that of all other at-most-once runs must equal it, where the check asked for the right ending only.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -19,6 +19,7 @@
 	Caller                   string // service of the host at which the request entered
 	DeadlineMS               int64
 	Body                     string
+	Truncated                bool // the connection ended within the body
 	Header                   http.Header
 	At                       time.Time
 }
@@ -157,14 +158,14 @@
 
 func (b *Backend) begin(r *http.Request, id string) time.Time {
 	ms, _ := strconv.ParseInt(r.Header.Get("Deadline-Milliseconds"), 10, 64)
-	body, _ := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.inFlight++
 	b.maxInFlight = max(b.maxInFlight, b.inFlight)
 	b.runs = append(b.runs, Run{
 		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host,
-		Caller: r.Header.Get("Caller-Service"), DeadlineMS: ms, Body: string(body), Header: r.Header.Clone(), At: time.Now(),
+		Caller: r.Header.Get("Caller-Service"), DeadlineMS: ms, Body: string(body), Truncated: err != nil, Header: r.Header.Clone(), At: time.Now(),
 	})
 	return time.Now().Add(time.Duration(ms) * time.Millisecond)
 }
--- a/standin/site/load.go
+++ b/standin/site/load.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"toucangw.example/standin/backend"
 )
 
 // AtMostOncePrefix is the path prefix of requests that may run at most once.
@@ -96,9 +98,15 @@
 func (s *Site) Violations(attempts []Attempt) []string {
 	var out []string
 	runs := map[string]int{}
+	bodies := map[string]string{} // of at-most-once requests, by ID
+	for _, a := range attempts {
+		if strings.HasPrefix(a.Path, AtMostOncePrefix) {
+			bodies[a.ID] = a.Body + a.ID
+		}
+	}
 	for _, r := range s.Runs() {
 		runs[r.ID]++
-		if strings.HasPrefix(r.Target, AtMostOncePrefix) && !strings.HasSuffix(r.Body, r.ID) {
+		if body, sent := bodies[r.ID]; sent && !runsBody(&r, body) {
 			out = append(out, r.ID+" ran with another body")
 		}
 	}
@@ -120,6 +128,15 @@
 	return out
 }
 
+// runsBody reports whether a run has the body that was sent. An upstream whose connection
+// ended within the body has a part of it.
+func runsBody(r *backend.Run, sent string) bool {
+	if r.Truncated {
+		return strings.HasPrefix(sent, r.Body)
+	}
+	return r.Body == sent
+}
+
 // promisesNotRun reports whether a status guarantees that the request has not run
 // and never will.
 func promisesNotRun(status int) bool {
--- a/standin/site/soak_test.go
+++ b/standin/site/soak_test.go
@@ -36,6 +36,8 @@
 	205, // a SIGHUP during the start of a process killed it, and nothing started it again
 	207, // as 205, and planned stops in a grace period that was too short for them
 
+	600004, // an upstream that crashed during an upload had run a part of the body, which the check took for another body
+
 	341006, // the refusal of a retry told that the request had not run in its first attempt
 }
 
