soak: a client sends a request once, also when its node is killed

Their node, node-3, was killed while they were in progress; its next process refused three requests as not run 8 ms after its start ("starting"), and no other line names them. The client's transport had sent them again by itself on a new connection, under the same id, as it does with requests without a body on a connection that was used before. Clients of the platform give each attempt an id of its own. Descriptions of violations name path, node and time.

--- a/standin/site/load.go
+++ b/standin/site/load.go
@@ -30,6 +30,7 @@
 // Attempt is a request and its outcome.
 type Attempt struct {
 	Request
+	Node   string // to which it was sent
 	Sent   time.Time
 	Took   time.Duration
 	Status int // 0: no response
@@ -42,7 +43,7 @@
 // Send sends a request to the node of a host. Requests under AtMostOncePrefix are
 // POSTs whose body ends with the request ID.
 func (h *Host) Send(transport http.RoundTripper, q Request) Attempt {
-	a := Attempt{Request: q, Sent: time.Now()}
+	a := Attempt{Request: q, Node: h.Name, Sent: time.Now()}
 	a.Status, a.Err = h.send(transport, &a)
 	a.Took = time.Since(a.Sent)
 	return a
@@ -59,6 +60,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if r.Body == http.NoBody {
+		// The transport sends a request without a body again, under the same ID, if the
+		// connection is lost.
+		r.Body, r.GetBody = io.NopCloser(bytes.NewReader(nil)), nil
+	}
 	r.Host = VirtualHost
 	r.Header.Set("Request-Id", a.ID)
 	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(a.Deadline.Milliseconds(), 10))
@@ -119,7 +125,8 @@
 			out = append(out, a.ID+" was answered without a run")
 		}
 		if promisesNotRun(a.Status) && ran > 0 {
-			out = append(out, fmt.Sprintf("%s ran, though %d says that it did not", a.ID, a.Status))
+			out = append(out, fmt.Sprintf("%s (%s at %s, %s, %s) ran, though %d says that it did not",
+				a.ID, a.Path, a.Node, a.Sent.Format(time.StampMilli), a.Took, a.Status))
 		}
 		if a.Mismatch != "" {
 			out = append(out, a.Mismatch)
--- a/standin/site/soak_test.go
+++ b/standin/site/soak_test.go
@@ -37,6 +37,7 @@
 	207, // as 205, and planned stops in a grace period that was too short for them
 
 	600004, // an upstream that crashed during an upload had run a part of the body, which the check took for another body
+	700004, // a client of the soak sent a request again by itself when its node was killed; the next process refused it as not run
 
 	341006, // the refusal of a retry told that the request had not run in its first attempt
 }
