--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -111,6 +111,8 @@
 // accept finds the route of a request, derives its deadline and decides on root
 // admission. It returns a refusal and its status if the request is rejected.
 func (g *Gateway) accept(q *request) (*verdict.Refusal, int) {
+	req := q.exchange.Request
+	q.id = req.Header.Get(g.cfg.Headers.RequestID)
 	routes := g.routes.Load()
 	if routes == nil || g.hosts.Load() == nil {
 		r := verdict.Refuse(verdict.Starting, "no configuration yet")
@@ -118,8 +120,6 @@
 		return r, http.StatusServiceUnavailable
 	}
 	q.version = routes.Version
-	req := q.exchange.Request
-	q.id = req.Header.Get(g.cfg.Headers.RequestID)
 	q.route = routes.Match(req.Host, req.RequestURI)
 	if q.route == nil {
 		return verdict.Refuse(verdict.UnknownKind, "no route"), http.StatusNotFound
