--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -17,7 +17,8 @@
 
 // Fingerprint identifies equal requests: the same method, host, target, caller and
 // body. It is a SHA-256 hash, so that no caller can make its request pass for that
-// of another one.
+// of another one. Of a body that is too long to be buffered only the length and the
+// beginning count.
 type Fingerprint [sha256.Size]byte
 
 // Request is what a Fingerprint is made of.
